--- /dev/null
+++ b/quincepath/interface.py
@@ -0,0 +1,307 @@
+"""What passes between a broker and the decision module: settings, events and actions.
+
+Times are whole nanoseconds. A node is an opaque byte string. Positions (class, tenant, zone, kind)
+count from 0. This file holds types only; every decision stands in ``policy.py``.
+"""
+
+from dataclasses import dataclass
+from enum import Enum, IntEnum
+
+NodeId = bytes
+
+
+class Effect(Enum):
+    """What repeating a part of a class may do."""
+
+    SAFE = "read_like"
+    KEYED = "idempotency_key"
+    UNSAFE = "non_idempotent"
+
+
+class Result(IntEnum):
+    """How an attempt, or a probe, ended."""
+
+    OK = 100
+    ERROR = 301
+    FULL = 302
+    TIMEOUT = 303
+    CONNECT_FAILED = 304
+    RESET = 305
+    CANCELLED = 306
+    MOOT = 307
+
+
+class Phase(IntEnum):
+    """A node's state in the list."""
+
+    READY = 1
+    GONE = 2
+    DRAINING = 3
+
+
+class Scope(IntEnum):
+    """What a list event holds."""
+
+    DELTA = 0
+    FULL = 1
+    CACHED = 2
+    FAILED = 3
+
+
+@dataclass(slots=True, frozen=True)
+class QueryClass:
+    """One class of query; ``need`` and ``floor`` are shares of the first step's weight."""
+
+    name: str
+    target: int
+    deadline: int
+    effect: Effect
+    window: int
+    worth: float
+    late_worth: float
+    need: float
+    floor: float
+    partial: float
+    second_step: int
+
+
+@dataclass(slots=True, frozen=True)
+class Tenant:
+    """One tenant and its share of the service."""
+
+    name: str
+    share: float
+    per_second: float
+
+
+@dataclass(slots=True, frozen=True)
+class Limits:
+    """What the site permits."""
+
+    attempts: int
+    cancel: bool
+    duplicate: bool
+    probes: bool
+    retry_after: bool
+    max_retry_after: int
+    connect_timeout: int
+    batch: int
+
+
+@dataclass(slots=True, frozen=True)
+class Rules:
+    """The figures of the rules; ``budget_window`` is 0 where no attempt budget is set."""
+
+    answer_slack: int
+    drain_grace: int
+    cold_share: float
+    ramp_time: int
+    fall_multiple: float
+    overload_for: int
+    must_ask_in: int
+    budget_window: int
+    budget_free: float
+    budget_ratio: float
+
+
+@dataclass(slots=True, frozen=True)
+class Settings:
+    """All that a broker tells the module at startup."""
+
+    me: int
+    instances: int
+    zone: int
+    tick: int
+    cells: int
+    reach: int
+    must_ask: bool
+    cross_zone_charge: float
+    over_share_worth: float
+    report_fields: tuple[str, ...]
+    classes: tuple[QueryClass, ...]
+    tenants: tuple[Tenant, ...]
+    limits: Limits
+    rules: Rules
+
+
+@dataclass(slots=True, frozen=True)
+class Entry:
+    """A node in a list; ``since`` is when it last started, 0 if long ago."""
+
+    node: NodeId
+    kind: int
+    zone: int
+    cell: int
+    since: int
+    phase: Phase
+    nominal: float
+
+
+@dataclass(slots=True, frozen=True)
+class Members:
+    """News of the node list."""
+
+    scope: Scope
+    version: int
+    entries: tuple[Entry, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class Query:
+    """A query; its parts follow in the same batch."""
+
+    id: int
+    number: int
+    parts: int
+    kind: int
+    tenant: int
+    time_left: int
+    key: int
+    cost: int
+    repeat: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Part:
+    """One part of the query with the same number, at one shard."""
+
+    id: int
+    number: int
+    weight: float
+    shard: int
+    key: int
+    cost: int
+
+
+@dataclass(slots=True, frozen=True)
+class Outcome:
+    """The end of an attempt; ``final`` means that the part is finished."""
+
+    part: int
+    attempt: int
+    node: NodeId
+    result: Result
+    elapsed: int
+    final: bool
+    report: tuple[float, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class Probed:
+    """What a probe found."""
+
+    node: NodeId
+    result: Result
+    elapsed: int
+    report: tuple[float, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class Left:
+    """The client of a query has gone."""
+
+    id: int
+
+
+@dataclass(slots=True, frozen=True)
+class TimerFired:
+    """A timer set by ``SetTimer`` is due."""
+
+    token: int
+
+
+@dataclass(slots=True, frozen=True)
+class Opened:
+    """A streamed answer has begun."""
+
+    part: int
+    attempt: int
+    node: NodeId
+
+
+@dataclass(slots=True, frozen=True)
+class FromPeer:
+    """A message of another broker."""
+
+    sender: int
+    text: bytes
+
+
+Event = Members | Query | Part | Outcome | Probed | Left | TimerFired | Opened | FromPeer
+
+
+@dataclass(slots=True, frozen=True)
+class Send:
+    """Start an attempt for a part."""
+
+    part: int
+    node: NodeId
+    timeout: int
+
+
+@dataclass(slots=True, frozen=True)
+class Cancel:
+    """Stop waiting for an attempt."""
+
+    part: int
+    attempt: int
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    """Answer a query from the parts that are in."""
+
+    id: int
+    full: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Refuse:
+    """Turn a query away; asking again does no harm. ``retry_in`` 0 gives no advice."""
+
+    id: int
+    retry_in: int
+
+
+@dataclass(slots=True, frozen=True)
+class Fail:
+    """End a query with no promise as to its effect."""
+
+    id: int
+
+
+@dataclass(slots=True, frozen=True)
+class SetTimer:
+    """Ask for ``TimerFired`` at a time."""
+
+    at: int
+    token: int
+
+
+@dataclass(slots=True, frozen=True)
+class Log:
+    """A line for on-call staff."""
+
+    text: str
+
+
+@dataclass(slots=True, frozen=True)
+class Watch:
+    """Subscribe to the node list."""
+
+    on: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Fetch:
+    """Ask for the whole node list once."""
+
+
+@dataclass(slots=True, frozen=True)
+class Probe:
+    """Examine a node."""
+
+    node: NodeId
+
+
+Action = Send | Cancel | Answer | Refuse | Fail | SetTimer | Log | Watch | Fetch | Probe
--- /dev/null
+++ b/quincepath/policy.py
@@ -0,0 +1,594 @@
+"""All decisions of the query aggregator. Its types, events and actions: ``quincepath/interface.py``.
+
+The mechanism: of a query that needs any n of its k parts, send exactly the n whose least-loaded replica is
+least loaded, each to that replica. Load is what this broker itself has outstanding at a node. Where that
+count misleads, a node carries a decaying debt on top, so that one rule serves in good and bad times.
+"""
+
+import math
+import random
+from collections import deque
+from collections.abc import Iterable
+from itertools import chain
+
+from quincepath.interface import (
+    Action, Answer, Cancel, Effect, Entry, Event, Fail, Left, Log, Members, NodeId, Opened, Outcome, Part,
+    Phase, Query, QueryClass, Refuse, Result, Scope, Send, SetTimer, Settings, TimerFired, Watch,
+)
+
+SECOND = 1_000_000_000
+EPSILON = 5e-5  # the wire lets sums of weights fall 0.0001 short; half of that is float rounding only
+PROVED_UNRUN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)  # outcomes after which no effect can exist
+
+PRIOR_LATENCY = 0.10  # share of a class's target that a part is taken to last before any was seen
+LATENCY_GAIN = 0.05  # weight of one reply in a class's typical latency: some twenty replies make a change
+LATENCY_CLIP = 4.0  # one reply counts as at most so many times the typical: one stall is not the norm
+LATE_DEVIATIONS = 3.0  # a part is late beyond mean + so many mean deviations, about one sound part in fifty
+LATE_SHARE_MOST = 0.35  # but no later than this share of the target, or nothing is left for the next try
+LATE_SHARE_LEAST = 0.10  # and no sooner than this one: early alarms only add work
+RESEND_PATIENCE = 2.0  # where two copies are forbidden an attempt is given up at so many times the late mark
+SPEED_GAIN = 0.25  # weight of one reply in a node's own latency ratio: follows a slowdown within few replies
+SPEED_MEMORY = 10 * SECOND  # an unused node's ratio fades to the norm, so that it is tried again
+SLOW_RATIO = 3.0  # a reply this many times the typical leaves debt as a failure would
+DEBT_MEMORY = 4 * SECOND  # debt falls to 1/e in this time: long enough to keep off, short enough to try again
+DEBT_MOST = 16.0  # most that one event adds: the trickle of trials must never stop for good
+SILENCE = 3 * SECOND  # a node that answers again after failing this long may have restarted: treated as cold
+WARM_REPLIES = 3  # so many replies at normal speed clear that suspicion
+BLOCKED_RETRY = SECOND // 20  # how soon a part that no node may take now is looked at again
+CORES_GUESS = 2  # so many parts at once are taken not to slow each other; only damps the expected wait
+HOPELESS_SHARE = 1.0  # refuse at once when the expected finish lies beyond this share of the target
+REASK_AFTER = 2 * SECOND  # pause before a failed subscription is asked for again
+LIST_TOKEN = 1 << 40  # timer token of the node list; query ids stay below 2^32
+
+
+class Latency:
+    """Typical latency of one kind of part, learned from all nodes; the prior is from the target."""
+
+    def __init__(self, target: int) -> None:
+        self.target = target
+        self.mean = self.base = target * PRIOR_LATENCY
+        self.deviation = self.mean / 2
+
+    def learn(self, elapsed: int) -> None:
+        seen = min(elapsed, self.mean * LATENCY_CLIP)
+        self.deviation += LATENCY_GAIN * (abs(seen - self.mean) - self.deviation)
+        self.mean += LATENCY_GAIN * (seen - self.mean)
+        self.base = min(self.base, self.mean)
+
+    def late_after(self) -> int:
+        """When a part out this long is called late."""
+        late = self.mean + LATE_DEVIATIONS * self.deviation
+        return int(min(max(late, LATE_SHARE_LEAST * self.target), LATE_SHARE_MOST * self.target))
+
+
+class Node:
+    """What this broker knows of one replica, all from the list and from its own traffic."""
+
+    def __init__(self, entry: Entry) -> None:
+        self.id: NodeId = entry.node
+        self.name = ".".join(str(b) for b in entry.node[:4]) + f":{int.from_bytes(entry.node[4:])}"
+        self.entry = entry
+        self.calls = 0
+        self.call: Call | None = None
+        self.debt = 0.0
+        self.debt_at = 0
+        self.failures = 0
+        self.distrusted = False
+        self.ratio = 1.0
+        self.ratio_at = 0
+        self.usual_load = 0.0
+        self.last_good = 0
+        self.cold_from = entry.since
+        self.normal_replies = 0
+        self.sent: deque[tuple[int, float]] = deque()
+
+    def load(self, now: int) -> int:
+        """Own calls out, plus what a failed or late part may still be costing there."""
+        return int(self.calls + self.debt * math.exp((self.debt_at - now) / DEBT_MEMORY))
+
+    def owe(self, now: int, amount: float) -> None:
+        self.debt = self.debt * math.exp((self.debt_at - now) / DEBT_MEMORY) + amount
+        self.debt_at = now
+
+    def speed(self, now: int) -> float:
+        """Latency here over the typical one, fading to 1 while unused."""
+        return 1 + (self.ratio - 1) * math.exp((self.ratio_at - now) / SPEED_MEMORY)
+
+
+class Call:
+    """Sends of one round to one node that share a place; the design counts these."""
+
+    def __init__(self, at: int) -> None:
+        self.at = at
+        self.parts = 0
+        self.open = 0
+
+
+class Attempt:
+    def __init__(self, part: "PartState", node: Node, call: Call, now: int) -> None:
+        self.part, self.node, self.call, self.sent = part, node, call, now
+        self.late = False
+        self.cancelled = False
+
+
+class PartState:
+    def __init__(self, query: "QueryState", event: Part) -> None:
+        self.query, self.id, self.weight, self.shard = query, event.id, event.weight, event.shard
+        self.attempts: list[Attempt] = []
+        self.live: list[Attempt] = []
+        self.ok = False
+        self.dead = False  # no attempt may follow
+        self.risky_since: int | None = None  # when the first attempt that may have run went out
+
+    def covered(self) -> bool:
+        """Whether this part is in, or is expected in without further help."""
+        return self.ok or any(not attempt.late for attempt in self.live)
+
+
+class QueryState:
+    def __init__(self, event: Query, kind: QueryClass, now: int, end: int) -> None:
+        self.id, self.number, self.kind, self.tenant = event.id, event.number, event.kind, event.tenant
+        self.spec = kind
+        self.aim = now + kind.target
+        self.end = end
+        self.parts: list[PartState] = []
+        self.step = 1
+        self.waiting = False  # between the first answer and the parts of the second step
+        self.whole = True
+        self.fresh = True
+        self.timer = 0
+
+    def need(self) -> float:
+        return (self.spec.need if self.step == 1 else 1.0) - EPSILON
+
+    def floor(self) -> float:
+        lenient = self.spec.floor < self.spec.need
+        return (self.spec.floor if self.step == 1 or lenient else 1.0) - EPSILON
+
+    def weight_in(self) -> float:
+        return sum(part.weight for part in self.parts if part.ok)
+
+
+class AttemptBudget:
+    """Rule 6: attempts beyond the first in a sliding window, against what was accepted in it."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.rules = settings.rules
+        self.taken: deque[int] = deque()
+        self.extra: deque[int] = deque()
+
+    def allows(self, now: int) -> bool:
+        if not self.rules.budget_window:
+            return True
+        start = now - self.rules.budget_window
+        while self.taken and self.taken[0] <= start:  # drop early what we earn by, late what we spent
+            self.taken.popleft()
+        while self.extra and self.extra[0] < start:
+            self.extra.popleft()
+        return len(self.extra) + 1 <= self.rules.budget_free + self.rules.budget_ratio * len(self.taken)
+
+
+class Aggregator:
+    """One broker's decisions: ``handle`` takes the events of a moment and returns the actions for it."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.settings, self.rules, self.limits = settings, settings.rules, settings.limits
+        self.random = random.Random(seed)
+        self.now = 0
+        self.out: list[Action] = []
+        self.nodes: dict[NodeId, Node] = {}
+        self.cells: dict[int, list[Node]] = {}
+        self.queries: dict[int, QueryState] = {}
+        self.by_number: dict[int, QueryState] = {}
+        self.parts: dict[int, PartState] = {}
+        self.budget = AttemptBudget(settings)
+        self.latency = {
+            (kind, step): Latency(spec.target)
+            for kind, spec in enumerate(settings.classes) for step in (1, 2)
+        }
+        self.asked = False
+
+    def handle(self, now: int, events: Iterable[Event]) -> list[Action]:
+        """Take in all events first, then decide once for each query that they touch."""
+        self.now, self.out = now, []
+        touched: dict[int, QueryState] = {}
+        for event in events:
+            query = self._take_in(event)
+            if query is not None:
+                touched[query.id] = query
+        for query in touched.values():
+            if query.id in self.queries:
+                self._advance(query)
+        return self.out
+
+    def _take_in(self, event: Event) -> QueryState | None:
+        match event:
+            case Outcome():
+                return self._outcome(event)
+            case TimerFired(token):
+                if token == LIST_TOKEN:
+                    self.out.append(Watch(True))
+                return self.queries.get(token)
+            case Query():
+                return self._accept(event)
+            case Part():
+                return self._add_part(event)
+            case Left(rid):
+                if rid in self.queries:
+                    self._forget(self.queries[rid])
+            case Members():
+                self._members(event)
+            case Opened() | _:
+                pass
+        return None
+
+    # --- the node list ---
+
+    def _members(self, event: Members) -> None:
+        if self.settings.must_ask and not self.asked:
+            self.asked = True
+            self.out.append(Watch(True))
+        if event.scope is Scope.FAILED:
+            self.out.append(SetTimer(self.now + REASK_AFTER, LIST_TOKEN))
+            return
+        if event.scope is not Scope.DELTA:
+            named = {entry.node: True for entry in event.entries}
+            for node in self.nodes.values():
+                if node.id not in named:
+                    node.entry = Entry(node.id, 0, node.entry.zone, node.entry.cell, 0, Phase.GONE, 0.0)
+        for entry in event.entries:
+            self._learn_entry(entry)
+        self.cells = {}
+        for node in self.nodes.values():
+            if node.entry.phase is Phase.READY:
+                self.cells.setdefault(node.entry.cell, []).append(node)
+
+    def _learn_entry(self, entry: Entry) -> None:
+        node = self.nodes.get(entry.node)
+        if node is None:
+            self.nodes[entry.node] = Node(entry)
+            return
+        if entry.since > node.entry.since and entry.phase is Phase.READY:
+            # A restart: what was out there is lost, and what was learned of it is void.
+            node.debt, node.failures, node.ratio, node.cold_from = 0.0, 0, 1.0, entry.since
+            node.normal_replies = 0
+        node.entry = entry
+
+    def _replicas(self, shard: int) -> Iterable[Node]:
+        cells = self.settings.cells
+        held = (self.cells.get((shard + j) % cells, ()) for j in range(min(self.settings.reach, cells)))
+        return chain.from_iterable(held)
+
+    # --- choice of replica ---
+
+    def _rank(self, node: Node) -> tuple[int, float, float]:
+        """The design's order: least loaded first; ties by expected latency, then at random."""
+        expected = max(node.speed(self.now), 1 / self._warmth(node))
+        if node.entry.zone != self.settings.zone:
+            expected *= 1 + 5 * self.settings.cross_zone_charge
+        return node.load(self.now), expected, self.random.random()
+
+    def _best_replica(self, part: PartState) -> tuple[tuple[int, float, float], Node] | None:
+        busy = [attempt.node for attempt in part.live]
+        usable = [n for n in self._replicas(part.shard) if n not in busy and self._may_take(n, part)]
+        if not usable:
+            return None
+        return min(((self._rank(node), node) for node in usable), key=lambda found: found[0])
+
+    def _warmth(self, node: Node) -> float:
+        """Least share of its capacity that a node has now, by the stated ramp."""
+        if not node.cold_from:
+            return 1.0
+        age = (self.now - node.cold_from) / self.rules.ramp_time
+        return min(1.0, self.rules.cold_share + (1 - self.rules.cold_share) * max(age, 0.0))
+
+    def _may_take(self, node: Node, part: PartState) -> bool:
+        """Rule 4: a cold node gets no more than this broker's share of its budget in any window."""
+        warmth = self._warmth(node)
+        if warmth >= 1:
+            return True
+        while node.sent and node.sent[0][0] <= self.now - self.rules.overload_for:
+            node.sent.popleft()
+        if not node.sent:
+            return True
+        spent = sum(work for _, work in node.sent) + self._work(part)
+        # A node has one core at least; how many more is not told, so the budget is that of one.
+        whole = self.rules.fall_multiple * warmth * self.rules.overload_for
+        return spent <= whole / self.settings.instances
+
+    def _work(self, part: PartState) -> float:
+        return self.latency[part.query.kind, part.query.step].base
+
+    # --- queries ---
+
+    def _accept(self, event: Query) -> QueryState:
+        self.budget.taken.append(self.now)
+        spec = self.settings.classes[event.kind]
+        end = self.now + max(event.time_left - 2 * self.settings.tick, 0)
+        query = QueryState(event, spec, self.now, end)
+        self.queries[query.id] = self.by_number[query.number] = query
+        return query
+
+    def _add_part(self, event: Part) -> QueryState | None:
+        self.budget.taken.append(self.now)
+        query = self.by_number.get(event.number)
+        if query is None:
+            return None
+        if query.waiting:
+            query.waiting, query.step, query.parts = False, 2, []
+        part = PartState(query, event)
+        query.parts.append(part)
+        self.parts[part.id] = part
+        return query
+
+    def _advance(self, query: QueryState) -> None:
+        """Decide all that can be decided for one query now."""
+        if query.waiting:  # a second step that never comes must still be ended
+            if self.now >= query.end:
+                self._give_up(query)
+            else:
+                self._wait_until(query, query.end)
+            return
+        weight = query.weight_in()
+        if query.parts and weight >= query.need():
+            self._answer(query, True)
+        elif self.now >= query.end or not self._can_finish(query):
+            self._give_up(query)
+        elif query.fresh and self._hopeless(query):
+            self._give_up(query)
+        else:
+            query.fresh = False
+            self._mark_late(query)
+            blocked = self._top_up(query)
+            self._wait_until(query, self._next_look(query, blocked))
+
+    def _answer(self, query: QueryState, full: bool) -> None:
+        query.whole = query.whole and full
+        self.out.append(Answer(query.id, query.whole))
+        self._drop_parts(query)
+        if query.step == 1 and query.spec.second_step:
+            query.waiting = True
+            self._wait_until(query, query.end)
+        else:
+            self._forget(query)
+
+    def _give_up(self, query: QueryState) -> None:
+        """The final answer of a query that will not be whole: at once, never held back."""
+        if not query.waiting and query.parts and query.weight_in() >= query.floor():
+            self._answer(query, False)
+            return
+        risky = any(p.ok or p.risky_since is not None for p in query.parts)
+        if risky and query.spec.effect is not Effect.SAFE:
+            self.out.append(Fail(query.id))  # an effect may exist: no promise
+        else:
+            advice = min(query.spec.target // 2, self.limits.max_retry_after)
+            self.out.append(Refuse(query.id, advice if self.limits.retry_after else 0))
+        self._forget(query)
+
+    def _forget(self, query: QueryState) -> None:
+        self._drop_parts(query)
+        del self.queries[query.id]
+        if self.by_number.get(query.number) is query:
+            del self.by_number[query.number]
+
+    def _drop_parts(self, query: QueryState) -> None:
+        """Call back what is still out; its outcome is still awaited, for the count's sake."""
+        for part in query.parts:
+            for attempt in part.live:
+                self._cancel(attempt)
+            if not part.live:
+                self.parts.pop(part.id, None)
+
+    def _cancel(self, attempt: Attempt) -> None:
+        if self.limits.cancel and not attempt.cancelled:
+            attempt.cancelled = True
+            self.out.append(Cancel(attempt.part.id, attempt.part.attempts.index(attempt)))
+
+    def _can_finish(self, query: QueryState) -> bool:
+        """Whether enough weight is in, out, or may still be sent."""
+        left = sum(p.weight for p in query.parts if p.ok or p.live or self._may_still_send(p))
+        if left < query.need():
+            return False
+        return self.now < query.aim or query.spec.late_worth > 0
+
+    def _may_still_send(self, part: PartState) -> bool:
+        if part.dead or len(part.attempts) >= self.limits.attempts or not any(self._replicas(part.shard)):
+            return False
+        if part.risky_since is None:
+            return True
+        spec = part.query.spec
+        if spec.effect is Effect.KEYED:
+            return self.now < part.risky_since + spec.window
+        return spec.effect is Effect.SAFE
+
+    def _hopeless(self, query: QueryState) -> bool:
+        """Whether even the best choice is expected to finish after the target."""
+        latency = self.latency[query.kind, 1]
+        finish = []
+        for part in query.parts:
+            times = [self._expected_wait(node) for node in self._replicas(part.shard)]
+            finish.append((min(times, default=math.inf), part.weight))
+        covered, slowest = 0.0, 0.0
+        for time, weight in sorted(finish):
+            if covered >= query.need():
+                break
+            covered, slowest = covered + weight, time
+        expected = latency.mean * slowest
+        if query.spec.second_step:
+            expected += self.latency[query.kind, 2].mean * slowest
+        return expected > HOPELESS_SHARE * query.spec.target
+
+    def _expected_wait(self, node: Node) -> float:
+        """Expected latency over the typical: what was seen here, scaled by how the count compares to then.
+
+        Debt is left out: it steers the choice, but when most nodes owe it would refuse the whole traffic.
+        """
+        return node.speed(self.now) * (node.calls + CORES_GUESS) / (node.usual_load + CORES_GUESS)
+
+    # --- sending ---
+
+    def _late_after(self, query: QueryState) -> int:
+        return self.latency[query.kind, query.step].late_after()
+
+    def _mark_late(self, query: QueryState) -> None:
+        late = self._late_after(query)
+        for part in query.parts:
+            for attempt in part.live:
+                if not attempt.late and self.now >= attempt.sent + late:
+                    attempt.late = True
+                    attempt.node.owe(self.now, 1.0)
+
+    def _top_up(self, query: QueryState) -> bool:
+        """Send until enough weight is covered; tells whether something had to be held for want of a node."""
+        covered = sum(part.weight for part in query.parts if part.covered())
+        while covered < query.need():
+            choice = self._next_first_send(query) or self._next_extra(query)
+            if choice is None:
+                return True
+            part, node = choice
+            self._send(part, node)
+            covered += part.weight
+        return False
+
+    def _next_first_send(self, query: QueryState) -> tuple[PartState, Node] | None:
+        """The unsent part whose best replica is least loaded."""
+        best = None
+        for part in query.parts:
+            if not part.attempts and not part.dead:
+                found = self._best_replica(part)
+                if found is not None and (best is None or found[0] < best[0]):
+                    best = found[0], part, found[1]
+        return None if best is None else best[1:]
+
+    def _next_extra(self, query: QueryState) -> tuple[PartState, Node] | None:
+        """A further try or second copy, for a part that failed or is late."""
+        if not self.budget.allows(self.now) or self.now >= query.aim:
+            return None
+        for part in query.parts:
+            if part.covered() or not part.attempts or not self._may_still_send(part):
+                continue
+            if part.live and (not self.limits.duplicate or query.spec.effect is not Effect.SAFE):
+                continue
+            found = self._best_replica(part)
+            if found is None or any(found[0][0] > a.node.load(self.now) for a in part.live):
+                continue
+            return part, found[1]
+        return None
+
+    def _send(self, part: PartState, node: Node) -> None:
+        if part.attempts:
+            self.budget.extra.append(self.now)
+        call = node.call
+        if call is None or call.at != self.now or call.parts >= self.limits.batch:
+            call = node.call = Call(self.now)
+            node.usual_load += SPEED_GAIN * (node.calls - node.usual_load)
+            node.calls += 1
+        call.parts += 1
+        call.open += 1
+        attempt = Attempt(part, node, call, self.now)
+        part.attempts.append(attempt)
+        part.live.append(attempt)
+        if part.risky_since is None and part.query.spec.effect is not Effect.SAFE:
+            part.risky_since = self.now
+        if self._warmth(node) < 1:
+            node.sent.append((self.now, self._work(part)))
+        self.out.append(Send(part.id, node.id, self._timeout(part)))
+
+    def _timeout(self, part: PartState) -> int:
+        """Where a second copy is allowed, wait to the end; else give up in time for another try."""
+        query = part.query
+        left = max(query.end - self.now, 1)
+        resendable = query.spec.effect is not Effect.UNSAFE and len(part.attempts) < self.limits.attempts
+        if self.limits.duplicate or not resendable or self.now >= query.aim:
+            return left
+        return min(left, int(RESEND_PATIENCE * self._late_after(query)))
+
+    def _next_look(self, query: QueryState, blocked: bool) -> int:
+        late = self._late_after(query)
+        looks = [query.end]
+        if query.aim > self.now:
+            looks.append(query.aim)
+        if blocked:
+            looks.append(self.now + BLOCKED_RETRY)
+        looks.extend(a.sent + late for p in query.parts for a in p.live if not a.late)
+        return min(looks)
+
+    def _wait_until(self, query: QueryState, at: int) -> None:
+        at = max(at, self.now + 1)
+        if not self.now < query.timer <= at:
+            query.timer = at
+            self.out.append(SetTimer(at, query.id))
+
+    # --- outcomes ---
+
+    def _outcome(self, event: Outcome) -> QueryState | None:
+        part = self.parts.get(event.part)
+        if part is None or event.attempt >= len(part.attempts):
+            return None
+        attempt = part.attempts[event.attempt]
+        if attempt not in part.live:
+            return None
+        part.live.remove(attempt)
+        attempt.call.open -= 1
+        if not attempt.call.open:
+            attempt.node.calls -= 1
+        self._learn(attempt, event)
+        query = part.query
+        if query.id not in self.queries or part not in query.parts or query.waiting:
+            if not part.live:
+                del self.parts[event.part]
+            return None
+        if event.result is Result.OK:
+            part.ok = True
+            for other in part.live:
+                self._cancel(other)
+        else:
+            part.dead = part.dead or event.final
+            if event.result in PROVED_UNRUN and len(part.attempts) == 1:
+                part.risky_since = None
+            elif event.result in PROVED_UNRUN and not part.live:
+                self._clear_risk(part, event)
+        return query
+
+    def _clear_risk(self, part: PartState, event: Outcome) -> None:
+        """For an unsafe part every earlier try was proved unrun, or this one would not have been sent."""
+        if part.query.spec.effect is Effect.UNSAFE:
+            part.risky_since = None
+
+    def _learn(self, attempt: Attempt, event: Outcome) -> None:
+        node, now = attempt.node, self.now
+        if event.result is Result.OK:
+            latency = self.latency[attempt.part.query.kind, attempt.part.query.step]
+            ratio = event.elapsed / latency.mean
+            latency.learn(event.elapsed)
+            self._learn_good(node, ratio)
+        elif event.result is Result.CANCELLED:
+            if not attempt.late:
+                node.owe(now, 0.5)
+        elif event.result is not Result.MOOT:
+            node.failures += 1
+            node.owe(now, min(2.0**node.failures, DEBT_MOST))
+            if node.failures == 3 and not node.distrusted:
+                node.distrusted = True
+                self.out.append(Log(f"distrust {node.name}: 3 failures in a row, last {event.result.name}"))
+
+    def _learn_good(self, node: Node, ratio: float) -> None:
+        now = self.now
+        node.ratio = node.speed(now) + SPEED_GAIN * (ratio - node.speed(now))
+        node.ratio_at = now
+        if node.failures and now - node.last_good > SILENCE and not node.cold_from > node.last_good:
+            node.cold_from, node.normal_replies = now, 0
+        node.last_good = now
+        node.failures = 0
+        if node.distrusted:
+            node.distrusted = False
+            self.out.append(Log(f"trust {node.name} again"))
+        if ratio >= SLOW_RATIO:
+            node.owe(now, min(ratio - 1, DEBT_MOST))
+            node.normal_replies = 0
+        else:
+            node.owe(now, 0.0)
+            node.debt /= 2
+            node.normal_replies += 1
+            if node.normal_replies >= WARM_REPLIES and node.cold_from > node.entry.since:
+                node.cold_from = node.entry.since
--- /dev/null
+++ b/tests/test_guards.py
@@ -0,0 +1,54 @@
+"""Guards on the module's shape, and on its being a function of its events alone."""
+
+import ast
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+POLICY = ROOT / "quincepath" / "policy.py"
+
+SCRIPT = """
+from tests.helpers import Broker, query_class, settings
+from quincepath.interface import Result
+broker = Broker(settings((query_class(), query_class(need=0.6, floor=0.6))))
+for turn in range(40):
+    _, parts, _ = broker.query([turn % 3, (turn + 1) % 3, turn % 2], kind=turn % 2)
+    for part in parts:
+        if any(send.part == part for send in broker.sends):
+            broker.end(part, (Result.OK, Result.ERROR, Result.OK)[turn % 3])
+    broker.advance(300_000_000)
+print(broker.actions)
+"""
+
+
+def test_module_keeps_its_line_limits() -> None:
+    lines = POLICY.read_text().splitlines()
+    assert len([line for line in lines if line.strip()]) <= 650
+    assert max(len(line) for line in lines) <= 110
+
+
+def test_module_imports_only_its_interface_and_plain_library() -> None:
+    allowed = ["math", "random", "collections", "collections.abc", "itertools", "quincepath.interface"]
+    for found in ast.walk(ast.parse(POLICY.read_text())):
+        names = [found.module or ""] if isinstance(found, ast.ImportFrom) else []
+        names += [alias.name for alias in found.names] if isinstance(found, ast.Import) else []
+        for name in names:
+            assert name in allowed
+
+
+def test_module_names_its_interface_at_the_top() -> None:
+    assert "quincepath/interface.py" in POLICY.read_text().splitlines()[0]
+
+
+def test_same_actions_under_different_hash_seeds() -> None:
+    outputs = []
+    for seed in ("1", "2"):
+        env = {**os.environ, "PYTHONHASHSEED": seed}
+        run = subprocess.run(
+            [sys.executable, "-c", SCRIPT], cwd=ROOT, env=env, capture_output=True, text=True, check=True
+        )
+        outputs.append(run.stdout)
+    assert "Send(" in outputs[0]
+    assert outputs[0] == outputs[1]
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,314 @@
+"""Each of the six rules, and the design's ordinary path, at the module's interface."""
+
+import pytest
+
+from quincepath.interface import (
+    Answer,
+    Cancel,
+    Effect,
+    Fail,
+    Left,
+    Members,
+    Outcome,
+    Part,
+    Phase,
+    Query,
+    Refuse,
+    Result,
+    Scope,
+    Send,
+    Watch,
+)
+from tests.helpers import MS, SECOND, Broker, entry, node_id, of, query_class, settings
+
+ANY = query_class(need=0.6, floor=0.6)
+UNSAFE = query_class(effect=Effect.UNSAFE)
+KEYED = query_class(effect=Effect.KEYED, window=SECOND)
+
+
+# --- the design ---
+
+
+def test_any_n_of_k_sends_exactly_n() -> None:
+    broker = Broker(settings((ANY,)))
+    _, _, got = broker.query([0, 1, 2, 0, 1, 2, 0, 1, 2])
+    assert len(of(got, Send)) == 6
+
+
+def test_sends_go_to_the_least_loaded_replica_and_the_least_loaded_parts() -> None:
+    broker = Broker(settings((query_class(), query_class(need=0.5, floor=0.5))))
+    broker.query([0, 0])  # one part at each replica of cell 0
+    _, parts, got = broker.query([0, 1], kind=1)
+    sends = of(got, Send)
+    assert [send.part for send in sends] == [parts[1]]
+    _, _, got = broker.query([1])
+    assert of(got, Send)[0].node != sends[0].node
+
+
+def test_unequal_weights_decide_n() -> None:
+    broker = Broker(settings((query_class(need=0.5, floor=0.5),)))
+    rid, parts, got = broker.query([0, 1, 2], weights=[0.2, 0.3, 0.5])
+    sent = [send.part for send in of(got, Send)]
+    weights = dict(zip(parts, [0.2, 0.3, 0.5], strict=True))
+    assert sum(weights[part] for part in sent) >= 0.5 > sum(weights[part] for part in sent[:-1])
+
+
+def test_batched_parts_share_one_call_in_the_count() -> None:
+    config = settings(limits={"batch": 4})
+    broker = Broker(config, nodes=[entry(0, 0), entry(1, 1), entry(2, 2)])
+    broker.query([0, 0, 0])
+    node = broker.policy.nodes[node_id(0)]
+    assert node.calls == 1
+
+
+def test_second_step_fetches_within_the_same_query() -> None:
+    broker = Broker(settings((query_class(second_step=2),)))
+    rid, parts, _ = broker.query([0, 1])
+    broker.end(parts[0])
+    assert of(broker.end(parts[1]), Answer) == [Answer(rid, True)]
+    more, got = broker.more_parts([0, 1])
+    assert sorted(send.part for send in of(got, Send)) == more
+    broker.end(more[0])
+    assert of(broker.end(more[1]), Answer) == [Answer(rid, True)]
+    assert not broker.policy.queries
+
+
+# --- rule 1: no query is lost ---
+
+
+def test_each_query_gets_one_final_answer_before_its_time_is_up() -> None:
+    broker = Broker()
+    rid, _, _ = broker.query([0, 1], time_left=3 * SECOND)
+    got = broker.advance(3 * SECOND)
+    assert len(of(got, Refuse)) + len(of(got, Fail)) == 1
+    assert not of(broker.advance(SECOND), Send)
+
+
+def test_second_step_that_never_comes_still_ends() -> None:
+    broker = Broker(settings((query_class(second_step=1),)))
+    rid, parts, _ = broker.query([0])
+    broker.end(parts[0])
+    assert [refusal.id for refusal in of(broker.advance(5 * SECOND), Refuse)] == [rid]
+
+
+def test_no_send_after_the_client_has_left_even_in_one_batch() -> None:
+    broker = Broker()
+    rid, parts, got = broker.query([0])
+    node = of(got, Send)[0].node
+    failed = Outcome(parts[0], 0, node, Result.ERROR, MS, False, ())
+    assert not of(broker.feed(failed, Left(rid)), Send)
+    assert not of(broker.feed(Left(rid)), Fail)
+
+
+def test_outcome_of_an_unknown_id_is_ignored() -> None:
+    broker = Broker()
+    assert broker.feed(Outcome(99, 0, node_id(0), Result.OK, MS, True, ())) == []
+
+
+def test_no_live_replica_is_answered_at_once() -> None:
+    broker = Broker(nodes=[entry(0, 0)])
+    rid, _, got = broker.query([0, 1])
+    assert [refusal.id for refusal in of(got, Refuse)] == [rid]
+    assert not of(got, Send)
+
+
+# --- rule 2: no effect happens twice ---
+
+
+@pytest.mark.parametrize("result", [Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED])
+def test_unsafe_part_that_may_have_run_fails_the_query(result: Result) -> None:
+    broker = Broker(settings((UNSAFE,)))
+    rid, parts, _ = broker.query([0])
+    got = broker.end(parts[0], result)
+    assert of(got, Fail) == [Fail(rid)] and not of(got, Send) and not of(got, Refuse)
+
+
+@pytest.mark.parametrize("result", [Result.FULL, Result.CONNECT_FAILED])
+def test_unsafe_part_proved_unrun_is_sent_again(result: Result) -> None:
+    broker = Broker(settings((UNSAFE,)))
+    _, parts, _ = broker.query([0])
+    assert len(of(broker.end(parts[0], result), Send)) == 1
+
+
+def test_unsafe_query_is_refused_only_on_proof() -> None:
+    broker = Broker(settings((UNSAFE,), limits={"attempts": 1}))
+    rid, parts, _ = broker.query([0])
+    assert [r.id for r in of(broker.end(parts[0], Result.FULL), Refuse)] == [rid]
+    rid, parts, _ = broker.query([0])
+    assert of(broker.advance(4 * SECOND), Fail) == [Fail(rid)]
+
+
+def test_unsafe_part_never_has_a_second_copy() -> None:
+    broker = Broker(settings((UNSAFE,)))
+    broker.query([0])
+    assert not of(broker.advance(3 * SECOND), Send)
+
+
+def test_keyed_part_is_resent_only_inside_its_window() -> None:
+    broker = Broker(settings((KEYED,)))
+    _, parts, _ = broker.query([0])
+    assert len(of(broker.end(parts[0], Result.ERROR), Send)) == 1
+    rid, parts, _ = broker.query([0])
+    broker.now += SECOND
+    got = broker.end(parts[0], Result.ERROR)
+    assert not of(got, Send) and of(got, Fail) == [Fail(rid)]
+
+
+def test_no_two_attempts_at_once_where_forbidden() -> None:
+    broker = Broker(settings(limits={"duplicate": False}))
+    _, parts, got = broker.query([0])
+    assert not of(broker.advance(of(got, Send)[0].timeout - 1), Send)
+    assert len(of(broker.end(parts[0], Result.TIMEOUT), Send)) == 1
+
+
+def test_attempt_limit_holds() -> None:
+    broker = Broker(settings(limits={"attempts": 2}))
+    rid, parts, _ = broker.query([0])
+    assert of(broker.end(parts[0], Result.ERROR), Send)
+    assert not of(broker.end(parts[0], Result.ERROR), Send)
+
+
+# --- rule 3: drains are kept ---
+
+
+@pytest.mark.parametrize("phase", [Phase.DRAINING, Phase.GONE])
+def test_no_send_to_a_draining_or_gone_node(phase: Phase) -> None:
+    broker = Broker()
+    broker.feed(Members(Scope.DELTA, 2, (entry(0, 0, phase),)))
+    for _ in range(6):
+        broker.query([0])
+    assert {send.node for send in broker.sends} == {node_id(1)}
+
+
+def test_a_node_missing_from_a_full_list_is_gone_and_may_come_back() -> None:
+    broker = Broker()
+    broker.feed(Members(Scope.FULL, 2, (entry(1, 0),)))
+    broker.query([0])
+    broker.query([0])
+    assert {send.node for send in broker.sends} == {node_id(1)}
+    broker.feed(Members(Scope.DELTA, 3, (entry(0, 0),)))
+    broker.query([0])
+    assert broker.sends[-1].node == node_id(0)
+
+
+# --- rule 4: a cold node is not pushed over ---
+
+
+def test_cold_node_gets_only_this_brokers_share_of_its_budget() -> None:
+    now = 100 * SECOND
+    broker = Broker(nodes=[entry(0, 0, since=now - SECOND), entry(1, 1), entry(2, 2)])
+    for _ in range(20):
+        broker.query([0])
+    work = broker.policy.latency[0, 1].base
+    share = 2.0 * 0.25 * 2 * SECOND / 2
+    assert 1 <= len(broker.sends) <= max(1, share / work)
+
+
+def test_held_parts_go_out_as_the_cold_node_warms() -> None:
+    broker = Broker(nodes=[entry(0, 0, since=100 * SECOND)])
+    for _ in range(20):
+        broker.query([0])
+    early = len(broker.sends)
+    broker.advance(3 * SECOND)
+    assert len(broker.sends) > early
+
+
+# --- rule 5: answers are honest ---
+
+
+def test_nothing_under_the_floor_and_not_whole_under_the_need() -> None:
+    broker = Broker(settings((query_class(need=1.0, floor=0.5),)))
+    rid, parts, _ = broker.query([0, 1, 2])
+    broker.end(parts[0])
+    broker.end(parts[1])
+    assert of(broker.advance(4 * SECOND), Answer) == [Answer(rid, False)]
+    rid, parts, _ = broker.query([0, 1, 2])
+    broker.end(parts[0])
+    assert not of(broker.advance(4 * SECOND), Answer)
+
+
+def test_a_part_counts_once_however_many_copies_answer() -> None:
+    broker = Broker(settings((query_class(target=2 * SECOND),)))
+    rid, parts, _ = broker.query([0, 1])
+    broker.advance(SECOND)
+    assert len([s for s in broker.sends if s.part == parts[0]]) == 2
+    broker.end(parts[0], attempt=0)
+    assert not of(broker.end(parts[0], attempt=1), Answer)
+    assert of(broker.end(parts[1]), Answer) == [Answer(rid, True)]
+
+
+def test_an_incomplete_first_answer_is_never_whole_later() -> None:
+    broker = Broker(settings((query_class(need=1.0, floor=0.5, second_step=1),)))
+    rid, parts, _ = broker.query([0, 1], time_left=4 * SECOND)
+    broker.end(parts[0])
+    for result in (Result.ERROR, Result.ERROR, Result.ERROR):
+        got = broker.end(parts[1], result)
+    assert of(got, Answer) == [Answer(rid, False)]
+    more, _ = broker.more_parts([0])
+    assert of(broker.end(more[0]), Answer) == [Answer(rid, False)]
+
+
+# --- rule 6: the attempt budget ---
+
+
+def test_extra_attempts_stay_within_the_sliding_window() -> None:
+    rules = {"budget_window": 10 * SECOND, "budget_free": 2.0, "budget_ratio": 0.1}
+    broker = Broker(settings(rules=rules))
+    for _ in range(10):
+        _, parts, _ = broker.query([0])
+        broker.end(parts[0], Result.ERROR)
+    extras = len(broker.sends) - 10
+    assert extras == 4  # 2 free and a tenth of 20 queries and parts
+    broker.now += 11 * SECOND
+    for _ in range(3):
+        _, parts, _ = broker.query([1])
+        broker.end(parts[0], Result.ERROR)
+    assert len(broker.sends) - 13 - extras == 2
+
+
+def test_budget_of_zero_allows_no_extra_attempt() -> None:
+    broker = Broker(settings(rules={"budget_window": SECOND}))
+    _, parts, _ = broker.query([0])
+    assert not of(broker.end(parts[0], Result.ERROR), Send)
+
+
+# --- what limits forbid ---
+
+
+def test_no_cancel_and_no_advice_where_forbidden() -> None:
+    broker = Broker(settings((ANY,), limits={"cancel": False, "retry_after": False}))
+    _, parts, _ = broker.query([0, 1, 2])
+    got = broker.advance(5 * SECOND)
+    assert not of(broker.actions, Cancel)
+    assert [refusal.retry_in for refusal in of(got, Refuse)] == [0]
+
+
+def test_asks_for_the_list_where_it_must_and_again_after_a_failure() -> None:
+    broker = Broker(settings(must_ask=True))
+    assert of(broker.actions, Watch) == [Watch(True)]
+    broker.feed(Members(Scope.FAILED, 0, ()))
+    assert of(broker.advance(5 * SECOND), Watch) == [Watch(True)]
+
+
+def test_events_for_ids_no_longer_held_are_ignored() -> None:
+    broker = Broker()
+    broker.feed(Part(50, 99, 1.0, 0, 0, 0))
+    broker.feed(Left(77))
+    assert not broker.sends
+
+
+def test_odd_but_legal_settings_keep_working() -> None:
+    config = settings((ANY,), limits={"attempts": 1, "duplicate": False}, instances=1, cells=1, reach=3)
+    broker = Broker(config, nodes=[entry(0, 0)])
+    rid, parts, got = broker.query([0, 1, 2, 3, 4])
+    assert len(of(got, Send)) == 3
+    sent = [send.part for send in of(got, Send)]
+    for part in sent:
+        got = broker.end(part)
+    assert of(got, Answer) == [Answer(rid, True)]
+
+
+def test_query_without_parts_is_ended() -> None:
+    broker = Broker()
+    got = broker.feed(Query(900, 77, 0, 0, 0, SECOND, 0, 0, False))
+    assert len(of(got, Refuse)) + len(of(got, Fail)) == 1
