--- a/quincepath/policy.py
+++ b/quincepath/policy.py
@@ -26,9 +26,11 @@
 LATE_DEVIATIONS = 3.0  # a part is late beyond mean + so many mean deviations, about one sound part in fifty
 LATE_SHARE_MOST = 0.35  # but no later than this share of the target, or nothing is left for the next try
 LATE_SHARE_LEAST = 0.10  # and no sooner than this one: early alarms only add work
+SPARE_SHARE = 0.10  # spare sends (for late parts) earned by each planned one: lateness of a few nodes is met,
+SPARE_MOST = 10.0  # but when all are late more work would only make them later; most that can be saved up
 RESEND_PATIENCE = 2.0  # where two copies are forbidden an attempt is given up at so many times the late mark
 SPEED_GAIN = 0.25  # weight of one reply in a node's own latency ratio: follows a slowdown within few replies
-SPEED_MEMORY = 10 * SECOND  # an unused node's ratio fades to the norm, so that it is tried again
+SPEED_MEMORY = 4 * SECOND  # an unused node's ratio fades to the norm, so that it is tried again
 SLOW_RATIO = 3.0  # a reply this many times the typical leaves debt as a failure would
 DEBT_MEMORY = 4 * SECOND  # debt falls to 1/e in this time: long enough to keep off, short enough to try again
 DEBT_MOST = 16.0  # most that one event adds: the trickle of trials must never stop for good
@@ -36,7 +38,7 @@
 WARM_REPLIES = 3  # so many replies at normal speed clear that suspicion
 BLOCKED_RETRY = SECOND // 20  # how soon a part that no node may take now is looked at again
 CORES_GUESS = 2  # so many parts at once are taken not to slow each other; only damps the expected wait
-HOPELESS_SHARE = 1.0  # refuse at once when the expected finish lies beyond this share of the target
+HOPELESS_SHARE = 0.35  # refuse at once beyond this share of the target: the slowest part comes on top
 REASK_AFTER = 2 * SECOND  # pause before a failed subscription is asked for again
 LIST_TOKEN = 1 << 40  # timer token of the node list; query ids stay below 2^32
 
@@ -107,7 +109,9 @@
 class Attempt:
     def __init__(self, part: "PartState", node: Node, call: Call, now: int) -> None:
         self.part, self.node, self.call, self.sent = part, node, call, now
+        self.calls_before = node.calls
         self.late = False
+        self.failed = False  # ended at once: leaves no work behind
         self.cancelled = False
 
 
@@ -187,6 +191,7 @@
             for kind, spec in enumerate(settings.classes) for step in (1, 2)
         }
         self.asked = False
+        self.spare = SPARE_MOST
 
     def handle(self, now: int, events: Iterable[Event]) -> list[Action]:
         """Take in all events first, then decide once for each query that they touch."""
@@ -330,8 +335,10 @@
                 self._wait_until(query, query.end)
             return
         weight = query.weight_in()
-        if query.parts and weight >= query.need():
+        if query.parts and weight >= query.need() and not self._too_late_for_second(query):
             self._answer(query, True)
+        elif query.parts and weight >= query.need():
+            self._give_up(query)
         elif self.now >= query.end or not self._can_finish(query):
             self._give_up(query)
         elif query.fresh and self._hopeless(query):
@@ -342,6 +349,11 @@
             blocked = self._top_up(query)
             self._wait_until(query, self._next_look(query, blocked))
 
+    def _too_late_for_second(self, query: QueryState) -> bool:
+        """Whether a second step would be work for an answer that comes after its target."""
+        mean = self.latency[query.kind, 2].mean
+        return query.step == 1 and query.spec.second_step > 0 and self.now + mean > query.aim
+
     def _answer(self, query: QueryState, full: bool) -> None:
         query.whole = query.whole and full
         self.out.append(Answer(query.id, query.whole))
@@ -354,7 +366,8 @@
 
     def _give_up(self, query: QueryState) -> None:
         """The final answer of a query that will not be whole: at once, never held back."""
-        if not query.waiting and query.parts and query.weight_in() >= query.floor():
+        enough = not query.waiting and query.parts and query.weight_in() >= query.floor()
+        if enough and not self._too_late_for_second(query):
             self._answer(query, False)
             return
         risky = any(p.ok or p.risky_since is not None for p in query.parts)
@@ -403,7 +416,6 @@
 
     def _hopeless(self, query: QueryState) -> bool:
         """Whether even the best choice is expected to finish after the target."""
-        latency = self.latency[query.kind, 1]
         finish = []
         for part in query.parts:
             times = [self._expected_wait(node) for node in self._replicas(part.shard)]
@@ -413,7 +425,7 @@
             if covered >= query.need():
                 break
             covered, slowest = covered + weight, time
-        expected = latency.mean * slowest
+        expected = self.latency[query.kind, 1].mean * slowest
         if query.spec.second_step:
             expected += self.latency[query.kind, 2].mean * slowest
         return expected > HOPELESS_SHARE * query.spec.target
@@ -443,13 +455,27 @@
         covered = sum(part.weight for part in query.parts if part.covered())
         while covered < query.need():
             choice = self._next_first_send(query) or self._next_extra(query)
-            if choice is None:
+            if choice is None or not self._pay(query, choice[0]):
                 return True
             part, node = choice
             self._send(part, node)
             covered += part.weight
         return False
 
+    def _pay(self, query: QueryState, part: PartState) -> bool:
+        """Spare sends, on top of work that goes on elsewhere, come out of a store that planned sends fill.
+
+        Guards against every kind of fleet-wide slowness turning into a storm of copies.
+        """
+        started = sum(p.weight for p in query.parts if any(not a.failed for a in p.attempts))
+        if started < query.need() and not any(not a.failed for a in part.attempts):
+            self.spare = min(self.spare + SPARE_SHARE, SPARE_MOST)
+        elif self.spare < 1:
+            return False
+        else:
+            self.spare -= 1
+        return True
+
     def _next_first_send(self, query: QueryState) -> tuple[PartState, Node] | None:
         """The unsent part whose best replica is least loaded."""
         best = None
@@ -481,7 +507,6 @@
         call = node.call
         if call is None or call.at != self.now or call.parts >= self.limits.batch:
             call = node.call = Call(self.now)
-            node.usual_load += SPEED_GAIN * (node.calls - node.usual_load)
             node.calls += 1
         call.parts += 1
         call.open += 1
@@ -497,9 +522,9 @@
     def _timeout(self, part: PartState) -> int:
         """Where a second copy is allowed, wait to the end; else give up in time for another try."""
         query = part.query
-        left = max(query.end - self.now, 1)
+        left = max((query.end if query.spec.late_worth > 0 else min(query.end, query.aim)) - self.now, 1)
         resendable = query.spec.effect is not Effect.UNSAFE and len(part.attempts) < self.limits.attempts
-        if self.limits.duplicate or not resendable or self.now >= query.aim:
+        if self.limits.duplicate or not resendable or self.now >= query.aim or self.spare < SPARE_MOST / 2:
             return left
         return min(left, int(RESEND_PATIENCE * self._late_after(query)))
 
@@ -544,6 +569,7 @@
                 self._cancel(other)
         else:
             part.dead = part.dead or event.final
+            attempt.failed = event.result is not Result.TIMEOUT
             if event.result in PROVED_UNRUN and len(part.attempts) == 1:
                 part.risky_since = None
             elif event.result in PROVED_UNRUN and not part.live:
@@ -561,6 +587,7 @@
             latency = self.latency[attempt.part.query.kind, attempt.part.query.step]
             ratio = event.elapsed / latency.mean
             latency.learn(event.elapsed)
+            node.usual_load += SPEED_GAIN * (attempt.calls_before - node.usual_load)
             self._learn_good(node, ratio)
         elif event.result is Result.CANCELLED:
             if not attempt.late:
--- /dev/null
+++ b/tests/test_failures.py
@@ -0,0 +1,124 @@
+"""One small case for each kind of failure that was met."""
+
+from quincepath.interface import Answer, Log, Members, Refuse, Result, Scope, Send
+from tests.helpers import MS, SECOND, Broker, entry, node_id, of, query_class, settings
+
+ANY = query_class(need=0.6, floor=0.6)
+
+
+def test_late_part_of_an_any_n_query_is_met_by_the_next_unsent_part() -> None:
+    rules = {"budget_window": 10 * SECOND}  # a budget of nothing: a first send needs none
+    broker = Broker(settings((ANY,), rules=rules))
+    _, parts, got = broker.query([0, 1, 2])
+    first = [send.part for send in of(got, Send)]
+    more = of(broker.advance(SECOND), Send)
+    assert more and all(send.part not in first for send in more)
+
+
+def test_late_part_that_is_needed_gets_a_second_copy_elsewhere() -> None:
+    broker = Broker()
+    _, parts, got = broker.query([0])
+    copy = of(broker.advance(SECOND), Send)
+    assert [send.part for send in copy] == parts
+    assert copy[0].node != of(got, Send)[0].node
+
+
+def test_failing_node_is_left_alone_and_tried_again_later() -> None:
+    broker = Broker()
+    for _ in range(30):
+        _, parts, _ = broker.query([0])
+        for _ in range(3):
+            bad = broker.sends[-1].node == node_id(0)
+            broker.end(parts[0], Result.ERROR if bad else Result.OK, elapsed=5 * MS if bad else 100 * MS)
+            if not bad:
+                break
+    to_bad = sum(send.node == node_id(0) for send in broker.sends)
+    assert to_bad <= 6
+    broker.advance(30 * SECOND)
+    for _ in range(4):
+        broker.query([0])
+    assert sum(send.node == node_id(0) for send in broker.sends) > to_bad
+
+
+def test_distrust_and_trust_are_logged_once() -> None:
+    broker = Broker(nodes=[entry(0, 0)])
+    for _ in range(5):
+        _, parts, _ = broker.query([0])
+        broker.end(parts[0], Result.ERROR)
+    _, parts, _ = broker.query([0])
+    broker.end(parts[0])
+    texts = [log.text for log in of(broker.actions, Log)]
+    assert len(texts) == 2 and texts[0].startswith("distrust 10.0.0.0:80") and "trust" in texts[1]
+
+
+def test_when_all_are_late_spare_sends_run_dry_instead_of_multiplying() -> None:
+    broker = Broker()
+    for _ in range(60):
+        broker.query([0, 1, 2])
+        broker.advance(50 * MS)
+    broker.advance(4 * SECOND)
+    planned = len({send.part for send in broker.sends})
+    assert planned >= 30
+    assert len(broker.sends) - planned <= 10 + planned // 10
+
+
+def test_query_that_cannot_finish_in_time_is_refused_at_once() -> None:
+    broker = Broker()
+    broker.train(elapsed=200 * MS)
+    refused = 0
+    for _ in range(60):
+        _, _, got = broker.query([0])
+        refused += len(of(got, Refuse))
+        assert len(of(got, Send)) + len(of(got, Refuse)) == 1
+    assert refused >= 30
+
+
+def test_all_replicas_failing_does_not_refuse_the_whole_traffic() -> None:
+    broker = Broker()
+    for _ in range(20):
+        _, parts, _ = broker.query([0])
+        for _ in range(3):
+            broker.end(parts[0], Result.ERROR)
+    _, _, got = broker.query([0])
+    assert len(of(got, Send)) == 1
+
+
+def test_a_node_back_from_silence_is_treated_as_cold() -> None:
+    broker = Broker(nodes=[entry(0, 0)])
+    broker.train(3, shards=(0,))
+    for _ in range(4):
+        _, parts, _ = broker.query([0])
+        broker.now += SECOND
+        broker.end(parts[0], Result.CONNECT_FAILED)
+    _, parts, _ = broker.query([0])
+    broker.now += 600 * MS
+    broker.end(parts[0], elapsed=600 * MS)
+    assert broker.policy.nodes[node_id(0)].cold_from == broker.now
+
+
+def test_a_restart_in_the_list_voids_what_was_learned() -> None:
+    broker = Broker(nodes=[entry(0, 0)])
+    _, parts, _ = broker.query([0])
+    broker.end(parts[0], Result.ERROR)
+    assert broker.policy.nodes[node_id(0)].load(broker.now) > 0
+    broker.feed(Members(Scope.DELTA, 2, (entry(0, 0, since=broker.now),)))
+    node = broker.policy.nodes[node_id(0)]
+    assert node.load(broker.now) == node.calls and node.cold_from == broker.now
+
+
+def test_slow_answers_leave_debt() -> None:
+    broker = Broker()
+    broker.train()
+    _, parts, _ = broker.query([0])
+    broker.now += 800 * MS
+    got = broker.end(parts[0], attempt=0, elapsed=800 * MS)
+    assert of(got, Answer)
+    assert broker.policy.nodes[broker.sends[-1].node].load(broker.now) > 0
+
+
+def test_no_second_step_that_would_end_past_the_target() -> None:
+    broker = Broker(settings((query_class(second_step=2),)))
+    rid, parts, _ = broker.query([0])
+    broker.now += 1950 * MS
+    got = broker.end(parts[0], attempt=0, elapsed=1950 * MS)
+    assert [refusal.id for refusal in of(got, Refuse)] == [rid] and not of(got, Answer)
