--- a/quincepath/policy.py
+++ b/quincepath/policy.py
@@ -36,6 +36,7 @@
 DEBT_MOST = 16.0  # most that one event adds: the trickle of trials must never stop for good
 SILENCE = 3 * SECOND  # a node that answers again after failing this long may have restarted: treated as cold
 WARM_REPLIES = 3  # so many replies at normal speed clear that suspicion
+RETURN_SHARE = 0.2  # of the target until a refused client may come back: its aim runs on from the first try
 BLOCKED_RETRY = SECOND // 20  # how soon a part that no node may take now is looked at again
 CORES_GUESS = 2  # so many parts at once are taken not to slow each other; only damps the expected wait
 HOPELESS_SHARE = 0.35  # refuse at once beyond this share of the target: the slowest part comes on top
@@ -341,7 +342,7 @@
             self._give_up(query)
         elif self.now >= query.end or not self._can_finish(query):
             self._give_up(query)
-        elif query.fresh and self._hopeless(query):
+        elif query.fresh and self._hopeless(query) and self._others_open(query):
             self._give_up(query)
         else:
             query.fresh = False
@@ -374,7 +375,7 @@
         if risky and query.spec.effect is not Effect.SAFE:
             self.out.append(Fail(query.id))  # an effect may exist: no promise
         else:
-            advice = min(query.spec.target // 2, self.limits.max_retry_after)
+            advice = min(int(RETURN_SHARE * query.spec.target), self.limits.max_retry_after)
             self.out.append(Refuse(query.id, advice if self.limits.retry_after else 0))
         self._forget(query)
 
@@ -414,6 +415,13 @@
             return self.now < part.risky_since + spec.window
         return spec.effect is Effect.SAFE
 
+    def _others_open(self, query: QueryState) -> bool:
+        """Whether news of this class is on its way already; if not, this query is the trial that brings it.
+
+        Guards against refusing a class for ever on old news, after a stall of this broker as after overload.
+        """
+        return any(q.kind == query.kind and not q.fresh for q in self.queries.values())
+
     def _hopeless(self, query: QueryState) -> bool:
         """Whether even the best choice is expected to finish after the target."""
         finish = []
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -122,3 +122,13 @@
     broker.now += 1950 * MS
     got = broker.end(parts[0], attempt=0, elapsed=1950 * MS)
     assert [refusal.id for refusal in of(got, Refuse)] == [rid] and not of(got, Answer)
+
+
+def test_a_class_with_nothing_open_is_tried_whatever_was_seen_before() -> None:
+    broker = Broker()
+    broker.train(60, elapsed=1500 * MS)
+    assert broker.policy.latency[0, 1].mean > 1000 * MS
+    _, _, got = broker.query([0])
+    assert len(of(got, Send)) == 1
+    _, _, got = broker.query([0])
+    assert len(of(got, Refuse)) == 1 and of(got, Refuse)[0].retry_in == 400 * MS
