One blame for every failure: late parts count too, debt doubles up to a cap; tries spread when no replica is sound

Holds against hang, silence, fast errors, refused connections. May hurt where failures of all replicas are brief and independent.

--- a/quincepath/policy.py
+++ b/quincepath/policy.py
@@ -33,10 +33,12 @@
 SPEED_MEMORY = 4 * SECOND  # an unused node's ratio fades to the norm, so that it is tried again
 SLOW_RATIO = 3.0  # a reply this many times the typical leaves debt as a failure would
 DEBT_MEMORY = 4 * SECOND  # debt falls to 1/e in this time: long enough to keep off, short enough to try again
-DEBT_MOST = 16.0  # most that one event adds: the trickle of trials must never stop for good
+DEBT_MOST = 16.0  # most that a node can owe: the trickle of trials must never stop for long
+DISTRUST_AFTER = 3  # failures in a row before on-call staff are told
 SILENCE = 3 * SECOND  # a node that answers again after failing this long may have restarted: treated as cold
 WARM_REPLIES = 3  # so many replies at normal speed clear that suspicion
 RETURN_SHARE = 0.2  # of the target until a refused client may come back: its aim runs on from the first try
+RETRY_PAUSE = 0.1  # of the target before a second try where no replica is sound, doubling with each further
 BLOCKED_RETRY = SECOND // 20  # how soon a part that no node may take now is looked at again
 CORES_GUESS = 2  # so many parts at once are taken not to slow each other; only damps the expected wait
 HOPELESS_SHARE = 0.35  # refuse at once beyond this share of the target: the slowest part comes on top
@@ -90,7 +92,7 @@
         return int(self.calls + self.debt * math.exp((self.debt_at - now) / DEBT_MEMORY))
 
     def owe(self, now: int, amount: float) -> None:
-        self.debt = self.debt * math.exp((self.debt_at - now) / DEBT_MEMORY) + amount
+        self.debt = min(self.debt * math.exp((self.debt_at - now) / DEBT_MEMORY) + amount, DEBT_MOST)
         self.debt_at = now
 
     def speed(self, now: int) -> float:
@@ -123,6 +125,7 @@
         self.live: list[Attempt] = []
         self.ok = False
         self.dead = False  # no attempt may follow
+        self.not_before = 0  # further tries wait until then
         self.risky_since: int | None = None  # when the first attempt that may have run went out
 
     def covered(self) -> bool:
@@ -456,7 +459,7 @@
             for attempt in part.live:
                 if not attempt.late and self.now >= attempt.sent + late:
                     attempt.late = True
-                    attempt.node.owe(self.now, 1.0)
+                    self._blame(attempt.node, "LATE")
 
     def _top_up(self, query: QueryState) -> bool:
         """Send until enough weight is covered; tells whether something had to be held for want of a node."""
@@ -501,6 +504,8 @@
         for part in query.parts:
             if part.covered() or not part.attempts or not self._may_still_send(part):
                 continue
+            if self.now < part.not_before:
+                continue
             if part.live and (not self.limits.duplicate or query.spec.effect is not Effect.SAFE):
                 continue
             found = self._best_replica(part)
@@ -577,6 +582,11 @@
                 self._cancel(other)
         else:
             part.dead = part.dead or event.final
+            if all(node.failures for node in self._replicas(part.shard)):
+                # Every replica fails (a lost zone, a full connection table): spread the tries that are left
+                # over the time that is left. Might hurt where such failures are brief and independent.
+                pause = RETRY_PAUSE * part.query.spec.target * 2.0 ** (len(part.attempts) - 1)
+                part.not_before = self.now + int(pause)
             attempt.failed = event.result is not Result.TIMEOUT
             if event.result in PROVED_UNRUN and len(part.attempts) == 1:
                 part.risky_since = None
@@ -600,12 +610,20 @@
         elif event.result is Result.CANCELLED:
             if not attempt.late:
                 node.owe(now, 0.5)
-        elif event.result is not Result.MOOT:
-            node.failures += 1
-            node.owe(now, min(2.0**node.failures, DEBT_MOST))
-            if node.failures == 3 and not node.distrusted:
-                node.distrusted = True
-                self.out.append(Log(f"distrust {node.name}: 3 failures in a row, last {event.result.name}"))
+        elif event.result is not Result.MOOT and not attempt.late:
+            self._blame(node, event.result.name)
+
+    def _blame(self, node: Node, why: str) -> None:
+        """One failure or late part more in a row: the debt doubles, whatever the cause.
+
+        Meets hang, silence, fast errors and refused connections alike. When all nodes are late, all owe, and
+        the choice is as before.
+        """
+        node.failures += 1
+        node.owe(self.now, 2.0 ** min(node.failures - 1, 10))
+        if node.failures == DISTRUST_AFTER and not node.distrusted:
+            node.distrusted = True
+            self.out.append(Log(f"distrust {node.name}: {node.failures} failures in a row, last {why}"))
 
     def _learn_good(self, node: Node, ratio: float) -> None:
         now = self.now
@@ -619,7 +637,7 @@
             node.distrusted = False
             self.out.append(Log(f"trust {node.name} again"))
         if ratio >= SLOW_RATIO:
-            node.owe(now, min(ratio - 1, DEBT_MOST))
+            node.owe(now, ratio - 1)
             node.normal_replies = 0
         else:
             node.owe(now, 0.0)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -132,3 +132,29 @@
     assert len(of(got, Send)) == 1
     _, _, got = broker.query([0])
     assert len(of(got, Refuse)) == 1 and of(got, Refuse)[0].retry_in == 400 * MS
+
+
+def test_late_parts_count_as_failures_in_a_row() -> None:
+    broker = Broker(nodes=[entry(0, 0)], config=settings(limits={"cancel": False}))
+    for _ in range(3):
+        broker.query([0])
+        broker.advance(SECOND)
+    assert any("LATE" in log.text for log in of(broker.actions, Log))
+    assert broker.policy.nodes[node_id(0)].load(broker.now) > 3 + 1
+
+
+def test_debt_never_grows_past_its_cap() -> None:
+    broker = Broker(nodes=[entry(0, 0)])
+    for _ in range(40):
+        _, parts, _ = broker.query([0])
+        broker.end(parts[0], Result.ERROR)
+    node = broker.policy.nodes[node_id(0)]
+    assert node.load(broker.now) - node.calls <= 16
+
+
+def test_tries_are_spread_out_when_no_replica_is_sound() -> None:
+    broker = Broker(nodes=[entry(0, 0), entry(1, 0)])
+    _, parts, _ = broker.query([0])
+    assert len(of(broker.end(parts[0], Result.CONNECT_FAILED), Send)) == 1  # the other replica may be sound
+    assert not of(broker.end(parts[0], Result.CONNECT_FAILED), Send)
+    assert len(of(broker.advance(450 * MS), Send)) == 1
