--- a/quincepath/policy.py
+++ b/quincepath/policy.py
@@ -34,7 +34,8 @@
 SLOW_RATIO = 3.0  # a reply this many times the typical leaves debt as a failure would
 DEBT_MEMORY = 4 * SECOND  # debt falls to 1/e in this time: long enough to keep off, short enough to try again
 DEBT_MOST = 16.0  # most that a node can owe: the trickle of trials must never stop for long
-DISTRUST_AFTER = 3  # failures in a row before on-call staff are told
+DISTRUST_AFTER = 8  # failures in a row before on-call staff are told: a trouble, not a hiccup
+OVERLOAD_QUIET = 5 * SECOND  # an overload is called over after this long without a refusal
 SILENCE = 3 * SECOND  # a node that answers again after failing this long may have restarted: treated as cold
 WARM_REPLIES = 3  # so many replies at normal speed clear that suspicion
 RETURN_SHARE = 0.2  # of the target until a refused client may come back: its aim runs on from the first try
@@ -196,6 +197,8 @@
         }
         self.asked = False
         self.spare = SPARE_MOST
+        self.refused = 0
+        self.refused_at = 0
 
     def handle(self, now: int, events: Iterable[Event]) -> list[Action]:
         """Take in all events first, then decide once for each query that they touch."""
@@ -346,9 +349,11 @@
         elif self.now >= query.end or not self._can_finish(query):
             self._give_up(query)
         elif query.fresh and self._hopeless(query) and self._others_open(query):
+            self._note_refusal()
             self._give_up(query)
         else:
             query.fresh = False
+            self._note_calm()
             self._mark_late(query)
             blocked = self._top_up(query)
             self._wait_until(query, self._next_look(query, blocked))
@@ -418,6 +423,17 @@
             return self.now < part.risky_since + spec.window
         return spec.effect is Effect.SAFE
 
+    def _note_refusal(self) -> None:
+        if not self.refused:
+            self.out.append(Log("overload begun: refusing queries that are not expected to finish in time"))
+        self.refused += 1
+        self.refused_at = self.now
+
+    def _note_calm(self) -> None:
+        if self.refused and self.now - self.refused_at > OVERLOAD_QUIET:
+            self.out.append(Log(f"overload ended: {self.refused} queries refused"))
+            self.refused = 0
+
     def _others_open(self, query: QueryState) -> bool:
         """Whether news of this class is on its way already; if not, this query is the trial that brings it.
 
