--- a/quincepath/policy.py
+++ b/quincepath/policy.py
@@ -42,7 +42,7 @@
 RETRY_PAUSE = 0.1  # of the target before a second try where no replica is sound, doubling with each further
 BLOCKED_RETRY = SECOND // 20  # how soon a part that no node may take now is looked at again
 CORES_GUESS = 2  # so many parts at once are taken not to slow each other; only damps the expected wait
-HOPELESS_SHARE = 0.35  # refuse at once beyond this share of the target: the slowest part comes on top
+HOPELESS_SHARE = 0.35  # refuse at once beyond this share of the time: the slowest part comes on top
 REASK_AFTER = 2 * SECOND  # pause before a failed subscription is asked for again
 LIST_TOKEN = 1 << 40  # timer token of the node list; query ids stay below 2^32
 
@@ -442,7 +442,7 @@
         return any(q.kind == query.kind and not q.fresh for q in self.queries.values())
 
     def _hopeless(self, query: QueryState) -> bool:
-        """Whether even the best choice is expected to finish after the target."""
+        """Whether even the best choice is expected to finish after the target or the client's time."""
         finish = []
         for part in query.parts:
             times = [self._expected_wait(node) for node in self._replicas(part.shard)]
@@ -455,7 +455,7 @@
         expected = self.latency[query.kind, 1].mean * slowest
         if query.spec.second_step:
             expected += self.latency[query.kind, 2].mean * slowest
-        return expected > HOPELESS_SHARE * query.spec.target
+        return expected > HOPELESS_SHARE * min(query.spec.target, query.end - self.now)
 
     def _expected_wait(self, node: Node) -> float:
         """Expected latency over the typical: what was seen here, scaled by how the count compares to then.
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -169,3 +169,13 @@
     broker.query([1])
     texts = [log.text for log in of(broker.actions, Log) if "overload" in log.text]
     assert [text.split(":")[0] for text in texts] == ["overload begun", "overload ended"]
+
+
+def test_a_try_with_too_little_time_left_is_refused_at_once() -> None:
+    broker = Broker()
+    broker.train()
+    broker.query([0])
+    _, _, got = broker.query([0], time_left=150 * MS)
+    assert len(of(got, Refuse)) == 1 and not of(got, Send)
+    _, _, got = broker.query([0], time_left=2 * SECOND)
+    assert len(of(got, Send)) == 1
