A departure named by a part stops its query's sends; the query is still answered

Cause, seen in the event record: in one batch an attempt was turned away and the departure was named by the part's id.

--- a/quincepath/policy.py
+++ b/quincepath/policy.py
@@ -228,6 +228,10 @@
             case Left(rid):
                 if rid in self.queries:
                     self._forget(self.queries[rid])
+                elif rid in self.parts:  # its query is sent no more, but answered
+                    for part in self.parts[rid].query.parts:
+                        part.dead = True
+                    return self.queries.get(self.parts[rid].query.id)
             case Members():
                 self._members(event)
             case Opened() | _:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -100,6 +100,16 @@
     assert not of(broker.feed(Left(rid)), Fail)
 
 
+def test_departure_named_by_a_part_stops_sends_and_is_answered() -> None:
+    broker = Broker(settings((ANY,)))
+    _, parts, got = broker.query([0, 1, 2])
+    first = of(got, Send)[0]
+    failed = Outcome(first.part, 0, first.node, Result.FULL, MS, False, ())
+    sent = of(broker.feed(failed, Left(first.part)), Send)
+    assert not sent and not of(broker.advance(4 * SECOND), Send)
+    assert len(of(broker.actions, Refuse)) == 1
+
+
 def test_outcome_of_an_unknown_id_is_ignored() -> None:
     broker = Broker()
     assert broker.feed(Outcome(99, 0, node_id(0), Result.OK, MS, True, ())) == []
