The best honest partial answer goes out in time for the second step and the target

To blame: _advance gave a partial answer only on giving up, at the target, and _too_late_for_second then refused it. Now it goes out at target less the second step's late mark; without a second step, two ticks before the target. A query whose need can't be met is held while parts for its floor are out; refusal judges by the floor. Guards against any cause of a few missing parts. Could hurt where a late whole answer is worth more than a partial one in time. New tests fail without it (seen).

--- a/quincepath/policy.py
+++ b/quincepath/policy.py
@@ -415,6 +415,8 @@
             self._answer(query, True)
         elif query.parts and weight >= query.need():
             self._give_up(query)
+        elif query.parts and weight >= query.floor() and self.now >= self._last_call(query):
+            self._answer(query, False)
         elif self.now >= query.end or self._poisoned(query) or not self._can_finish(query):
             self._give_up(query)
         elif query.fresh and self.tried[query.kind] and self._hopeless(query):
@@ -433,6 +435,11 @@
         mean = self.latency[query.kind, 2].mean
         return query.step == 1 and query.spec.second_step > 0 and self.now + mean > query.aim
 
+    def _last_call(self, query: QueryState) -> int:
+        """From then on the best honest answer goes out: part of the worth in time beats all late."""
+        second = self.latency[query.kind, 2].late_after() if query.step == 1 and query.spec.second_step else 0
+        return query.aim - second - ANSWER_TICKS * self.settings.tick
+
     def _answer(self, query: QueryState, full: bool) -> None:
         query.whole = query.whole and full
         self.out.append(Answer(query.id, query.whole))
@@ -478,9 +485,9 @@
             self.out.append(Cancel(attempt.part.id, attempt.part.attempts.index(attempt)))
 
     def _can_finish(self, query: QueryState) -> bool:
-        """Whether enough weight is in, out, or may still be sent."""
+        """Whether enough weight is in, out, or may still be sent; if only for a partial answer, in or out."""
         left = sum(p.weight for p in query.parts if p.ok or p.live or self._may_still_send(p))
-        if left < query.need():
+        if left < query.need() and (left < query.floor() or not any(p.live for p in query.parts)):
             return False
         return self.now < query.aim or query.spec.late_worth > 0
 
@@ -520,7 +527,7 @@
             finish.append((min(times, default=math.inf), part.weight))
         covered, slowest = 0.0, 0.0
         for time, weight in sorted(finish):
-            if covered >= query.need():
+            if covered >= query.floor():
                 break
             covered, slowest = covered + weight, time
         return slowest > HOPELESS_SHARE * min(query.spec.target, query.end - self.now)
@@ -684,8 +691,7 @@
     def _next_look(self, query: QueryState, blocked: bool) -> int:
         late = self._late_after(query)
         looks = [query.end]
-        if query.aim > self.now:
-            looks.append(query.aim)
+        looks.extend(at for at in (self._last_call(query), query.aim) if at > self.now)
         if blocked:
             looks.append(self.now + BLOCKED_RETRY)
         looks.extend(a.sent + late for p in query.parts for a in p.live if not a.late)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -354,3 +354,15 @@
     broker.advance(SECOND)
     broker.end(parts[0], Result.TIMEOUT, elapsed=SECOND)
     assert broker.policy.nodes[node_id(0)].speed(broker.now) > 2
+
+
+def test_parts_of_a_round_share_a_call_that_costs_work_and_the_call_is_not_held_against_the_node() -> None:
+    config = settings(call_work=50 * MS, reach=3, limits={"batch": 16})
+    broker = Broker(config, nodes=[entry(cell, cell) for cell in range(3)])
+    broker.query([0, 1, 2])  # each node holds all three
+    assert len({send.node for send in broker.sends}) == 1
+    broker.query([0, 1, 2])
+    assert len({send.node for send in broker.sends}) == 1  # in the same round, still one call
+    broker.now += MS
+    broker.query([0, 1, 2])
+    assert len({send.node for send in broker.sends}) == 2  # by now the first call counts
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -255,6 +255,35 @@
     assert not of(broker.advance(4 * SECOND), Answer)
 
 
+@pytest.mark.parametrize("second", [0, 2])
+def test_best_partial_answer_goes_out_in_time_for_the_target(second: int) -> None:
+    spec = query_class(need=1.0, floor=0.6, late_worth=0.0, second_step=second)
+    broker = Broker(settings((spec,), limits={"duplicate": False}))
+    rid, parts, _ = broker.query([0, 1, 2])
+    broker.end(parts[0])
+    assert not of(broker.actions, Answer)
+    broker.end(parts[1])
+    before = broker.now
+    got = broker.advance(2 * SECOND - 1)
+    assert of(got, Answer) == [Answer(rid, False)]
+    assert not of(broker.actions, Refuse) or second
+    if second:  # early enough that its parts may still come in
+        broker.actions.clear()
+        broker.now = before + 1600 * MS
+        more, _ = broker.more_parts([0, 1])
+        broker.end(more[0])
+        assert of(broker.end(more[1]), Answer) == [Answer(rid, False)]
+
+
+def test_partial_answer_waits_while_the_whole_may_come_in_time() -> None:
+    broker = Broker(settings((query_class(need=1.0, floor=0.6, late_worth=0.0),)))
+    rid, parts, _ = broker.query([0, 1, 2])
+    for part in parts[:2]:
+        broker.end(part)
+    assert not of(broker.advance(SECOND), Answer)
+    assert of(broker.end(parts[2]), Answer) == [Answer(rid, True)]
+
+
 def test_a_part_counts_once_however_many_copies_answer() -> None:
     broker = Broker(settings((query_class(target=2 * SECOND),)))
     rid, parts, _ = broker.query([0, 1])
