The jam that lasts: trials kept to a part of the traffic, repeats refused while crowded, copies only where they complete

Cause found by logging each send, outcome and giving up: the offered work fits (about 0.6 of the fleet), but as much again was done for queries that were then given up, and clients asked up to three times, so the jam fed itself. Ruled out: single bad nodes (all alike), the list (unchanged), the calls' own work (2.8 parts a call). The refusals that should have ended it did not come: a query was tried whenever no other of its class was open, and a broker of 52 with a query every 2.7 s has none open nearly always. The assumption that did not carry over: many queries a broker. Also guards against any overload that waste keeps up (pauses, bursts, slow dependency). Could hurt a client whose first try met a single failure during an overload: its repeat is refused. Where repeats are not marked, nothing is known of them and they are served as first tries.

--- a/quincepath/policy.py
+++ b/quincepath/policy.py
@@ -54,6 +54,9 @@
 CULPRITS_MOST = 100  # such keys remembered
 DIAL_MEMORY = 10 * SECOND  # so long after a connection took too long to open, open ones are preferred
 DIAL_COST = 2  # parts counted on top for a node that would need a new one
+SHORT_MEMORY = 10 * SECOND  # so long after a first try came with little time a repeat's age is not known
+TRIAL_GAPS = 2.0  # in an overload a query goes out for news after so many mean gaps between first tries
+GAP_GAIN = 0.1  # weight of one gap in their mean
 COLD_CORES = 1.75  # cores that a cold node is filled as: not told, two are taken, with an eighth to spare
 CORES_GUESS = 2  # so many parts at once are taken not to slow each other; only damps the expected wait
 HOPELESS_SHARE = 0.35  # refuse at once beyond this share of the time: the slowest part comes on top
@@ -70,8 +73,10 @@
         self.target = target
         self.mean = self.base = target * PRIOR_LATENCY
         self.deviation = self.mean / 2
+        self.seen_at = 0
 
-    def learn(self, elapsed: int) -> None:
+    def learn(self, now: int, elapsed: int) -> None:
+        self.seen_at = now
         seen = min(elapsed, self.mean * LATENCY_CLIP)
         self.deviation += LATENCY_GAIN * (abs(seen - self.mean) - self.deviation)
         self.mean += LATENCY_GAIN * (seen - self.mean)
@@ -92,16 +97,12 @@
         self.entry = entry
         self.calls = 0
         self.call: Call | None = None
-        self.faults = 0.0
-        self.faults_at = 0
-        self.failures = 0
-        self.ratio = 1.0
-        self.ratio_at = 0
+        self.faults, self.faults_at, self.failures = 0.0, 0, 0
+        self.ratio, self.ratio_at = 1.0, 0
         self.usual_load = 0.0
         self.heard = -SECOND * SECOND  # when it last answered: its connection stays open for a while
-        self.cold_from = 0
+        self.cold_from = self.credit_at = 0
         self.credit = 0.0  # work that may be sent while it is cold
-        self.credit_at = 0
         self.memory = MEMORY_LEAST
 
     def load(self, now: int) -> int:
@@ -128,17 +129,14 @@
 
     def __init__(self, at: int) -> None:
         self.at = at
-        self.parts = 0
-        self.open = 0
+        self.parts = self.open = 0
 
 
 class Attempt:
     def __init__(self, part: "PartState", node: Node, call: Call, now: int) -> None:
-        self.part, self.node, self.call, self.sent = part, node, call, now
-        self.calls_before = node.calls
-        self.late = False
+        self.part, self.node, self.call, self.sent, self.calls_before = part, node, call, now, node.calls
+        self.late = self.cancelled = False
         self.failed = False  # ended at once: leaves no work behind
-        self.cancelled = False
 
 
 class PartState:
@@ -157,10 +155,10 @@
 
 
 class QueryState:
-    def __init__(self, event: Query, kind: QueryClass, now: int, end: int) -> None:
-        self.id, self.number, self.kind, self.tenant = event.id, event.number, event.kind, event.tenant
+    def __init__(self, event: Query, kind: QueryClass, aim: int, end: int) -> None:
+        self.id, self.number, self.kind = event.id, event.number, event.kind
         self.spec = kind
-        self.aim = now + kind.target
+        self.aim = aim
         self.end = end
         self.parts: list[PartState] = []
         self.step = 1
@@ -224,13 +222,14 @@
             for kind, spec in enumerate(settings.classes) for step in (1, 2)
         }
         self.asked = False
-        self.first_send = 0
-        self.sends = 0
+        self.full_try: dict[int, int] = {}  # by class, the most time that a client gave a try
+        self.short_at = -SHORT_MEMORY
+        self.newest = self.latency[0, 1]  # of the kind of part that was in last
+        self.trial_at, self.first_at, self.gap = 0, 0, 0.0  # gap: mean time between clients' first tries
+        self.first_send = self.sends = 0
         self.spare = SPARE_MOST
-        self.refused = 0
-        self.refused_at = 0
-        self.crash_at = -CRASH_MEMORY
-        self.dial_failed_at = -DIAL_MEMORY
+        self.refused = self.refused_at = 0
+        self.crash_at, self.dial_failed_at = -CRASH_MEMORY, -DIAL_MEMORY
         self.ranks: dict[NodeId, Rank | None] = {}  # of one round; none where a node is too cold
         self.culprits: dict[int, int] = {}  # keys of poisoned queries, and when they were last seen
 
@@ -280,7 +279,7 @@
             self.out.append(SetTimer(self.now + REASK_AFTER, LIST_TOKEN))
             return
         if event.scope is not Scope.DELTA:
-            named = {entry.node: True for entry in event.entries}
+            named = dict.fromkeys(entry.node for entry in event.entries)
             for node in self.nodes.values():
                 if node.id not in named:
                     node.entry = Entry(node.id, 0, node.entry.zone, node.entry.cell, 0, Phase.GONE, 0.0)
@@ -316,14 +315,14 @@
     def _rank(self, node: Node, query: QueryState) -> Rank:
         """The design's order: least loaded first; ties by expected latency, then at random.
 
-        The count is by call: a part that joins a call begun in this round adds none, so that call is not
-        held against the node. Where calls cost work, a tie goes to the node that shares it among most parts.
+        The count is by call: one begun in this round, which a part may join, is not held against the node.
+        Where calls cost work a tie goes to the node that shares it among most parts.
         """
         expected = max(node.speed(self.now), 1 / self._warmth(node))
         load = node.load(self.now)
         if self._may_join(node):
             load -= 1
-        elif self.settings.call_work and self.limits.batch > 1:
+        elif query.held:
             shared = max(min(query.held.get(node.id, 1), self.limits.batch), 1)
             expected *= 1 + self.settings.call_work / self._typical(query).base / shared
         if node.entry.zone != self.settings.zone:
@@ -378,7 +377,7 @@
         return max(work - node.credit, 0.0) / rate
 
     def _work(self, part: PartState) -> float:
-        return self.latency[part.query.kind, part.query.step].base
+        return self._typical(part.query).base
 
     # --- queries ---
 
@@ -386,10 +385,29 @@
         self.budget.taken.append(self.now)
         spec = self.settings.classes[event.kind]
         end = self.now + max(event.time_left - ANSWER_TICKS * self.settings.tick, 0)
-        query = QueryState(event, spec, self.now, end)
+        if not event.repeat:
+            gap = self.now - (self.first_at or self.now)
+            self.gap += (GAP_GAIN if self.gap else 1.0) * (gap - self.gap)
+            self.first_at = self.now
+        query = QueryState(event, spec, self._aim(event, spec), end)
         self.queries[query.id] = self.by_number[query.number] = query
         return query
 
+    def _aim(self, event: Query, spec: QueryClass) -> int:
+        """When the client wants its answer: counted from its first try, which a repeat may be long past.
+
+        A repeat with less time than a full try has what its deadline leaves, and so tells its age; but not
+        while first tries come short, too: then the client's patience is short.
+        """
+        full = self.full_try[event.kind] = max(self.full_try.get(event.kind, 0), event.time_left)
+        short = event.time_left < full - ANSWER_TICKS * self.settings.tick
+        self.short_at = self.now if short and not event.repeat else self.short_at
+        tells = short and self.now > self.short_at + SHORT_MEMORY
+        return self.now + spec.target - (max(spec.deadline - event.time_left, 0) if tells else 0)
+
+    def _crowded(self, query: QueryState) -> bool:
+        return self._news(query.kind, query.step) > CROWDED * self._typical(query).base
+
     def _add_part(self, event: Part) -> QueryState | None:
         self.budget.taken.append(self.now)
         query = self.by_number.get(event.number)
@@ -404,25 +422,22 @@
 
     def _advance(self, query: QueryState) -> None:
         """Decide all that can be decided for one query now."""
-        if query.waiting:  # a second step that never comes must still be ended
-            if self.now >= query.end:
-                self._give_up(query)
-            else:
-                self._wait_until(query, query.end)
+        if query.waiting and self.now < query.end:  # a second step that never comes must still be ended
+            self._wait_until(query, query.end)
             return
-        weight = query.weight_in()
-        if query.parts and weight >= query.need() and not self._too_late_for_second(query):
+        weight = query.weight_in() if query.parts and not query.waiting else -1.0
+        if weight >= query.need() and not self._too_late_for_second(query):
             self._answer(query, True)
-        elif query.parts and weight >= query.need():
+        elif weight >= query.need() or weight >= query.floor() and self.now >= self._last_call(query):
             self._give_up(query)
-        elif query.parts and weight >= query.floor() and self.now >= self._last_call(query):
-            self._answer(query, False)
         elif self.now >= query.end or self._poisoned(query) or not self._can_finish(query):
             self._give_up(query)
-        elif query.fresh and self.tried[query.kind] and self._hopeless(query):
+        elif query.fresh and not self._trial_due(query) and self._hopeless(query):
             self._note_refusal()
             self._give_up(query)
         else:
+            if query.fresh:
+                self.trial_at = self.now
             self.tried[query.kind] += query.fresh
             query.fresh = False
             self._note_calm()
@@ -441,7 +456,7 @@
         return query.aim - second - ANSWER_TICKS * self.settings.tick
 
     def _answer(self, query: QueryState, full: bool) -> None:
-        query.whole = query.whole and full
+        query.whole &= full
         self.out.append(Answer(query.id, query.whole))
         self._drop_parts(query)
         if query.step == 1 and query.spec.second_step:
@@ -485,11 +500,14 @@
             self.out.append(Cancel(attempt.part.id, attempt.part.attempts.index(attempt)))
 
     def _can_finish(self, query: QueryState) -> bool:
-        """Whether enough weight is in, out, or may still be sent; if only for a partial answer, in or out."""
+        """Whether enough weight is in, out, or may still be sent; for a part of the worth, in or out."""
         left = sum(p.weight for p in query.parts if p.ok or p.live or self._may_still_send(p))
         if left < query.need() and (left < query.floor() or not any(p.live for p in query.parts)):
             return False
-        return self.now < query.aim or query.spec.late_worth > 0
+        if self.now < query.aim or not query.spec.late_worth:
+            return self.now < query.aim
+        # While crowded late work is only for what earns more by it than the same work for another query.
+        return query.spec.late_worth > 1 - query.weight_in() or not self._crowded(query)
 
     def _may_still_send(self, part: PartState) -> bool:
         if part.dead or len(part.attempts) >= self.limits.attempts or not any(self._replicas(part.shard)):
@@ -512,32 +530,46 @@
             self.out.append(Log(f"overload ended: {self.refused} queries refused"))
             self.refused = 0
 
+    def _trial_due(self, query: QueryState) -> bool:
+        """Whether a query is tried whatever is expected, for news.
+
+        Guards against refusing for ever on old news, after a stall of this broker as after overload. Of many
+        brokers each would be on trial all the time: trials are kept to a part of the usual traffic.
+        """
+        due = self.now >= self.trial_at + TRIAL_GAPS * self.gap
+        return due and not self.tried[query.kind] and not query.repeat
+
+    def _news(self, kind: int, step: int) -> float:
+        """A class's typical latency now: without a part for long, moved as that of the class last seen."""
+        latency = self.latency[kind, step]
+        if self.newest.seen_at <= latency.seen_at + latency.target:
+            return latency.mean
+        return latency.base * self.newest.mean / self.newest.base
+
     def _hopeless(self, query: QueryState) -> bool:
         """Whether even the best choice is expected to finish after the target or the client's time.
 
-        Asked only while another query of the class is open, whose news is on its way: guards against refusing
-        a class for ever on old news, after a stall of this broker as after overload.
+        While crowded repeats are refused: they would keep up the overload; first tries have their whole time.
         """
-        mean = self.latency[query.kind, 1].mean
-        if query.spec.second_step:
-            mean += self.latency[query.kind, 2].mean
+        if query.repeat and self._crowded(query):
+            return True
+        mean = self._news(query.kind, 1) + (self._news(query.kind, 2) if query.spec.second_step else 0)
         finish = []
         for part in query.parts:
             times = (self._expected_wait(n, part, mean) for n in self._replicas(part.shard))
             finish.append((min(times, default=math.inf), part.weight))
         covered, slowest = 0.0, 0.0
         for time, weight in sorted(finish):
-            if covered >= query.floor():
-                break
-            covered, slowest = covered + weight, time
-        return slowest > HOPELESS_SHARE * min(query.spec.target, query.end - self.now)
+            if covered < query.floor():
+                covered, slowest = covered + weight, time
+        until = query.end if self.now >= query.aim else min(query.aim, query.end)
+        return slowest > HOPELESS_SHARE * (until - self.now)
 
     def _expected_wait(self, node: Node, part: PartState, mean: float) -> float:
         """The typical latency, scaled by what was seen here and by how the count compares to then.
 
-        Failures count where most attempts fail: guards against taking a jammed replica's dead sibling for a
-        quick one. Fewer do not: they would refuse the whole traffic whenever most nodes fail now and then.
-        A cold node's budget counts: guards against work for queries that would be held there past their time.
+        Failures count where most attempts fail (guards against taking a jammed replica's dead sibling for
+        a quick one; fewer would refuse all traffic), and so does a cold node's wait.
         """
         sound = 1 - max(node.fault_share(self.now) - MOSTLY_FAILING, 0.0)
         crowd = (node.calls + CORES_GUESS) / (node.usual_load + CORES_GUESS)
@@ -562,14 +594,13 @@
     def _top_up(self, query: QueryState) -> bool:
         """Send until enough weight is covered; tells whether something had to be held for want of a node."""
         covered = sum(part.weight for part in query.parts if part.covered())
-        if covered >= query.need():
-            return False
-        self.ranks = {}
-        query.held = self._held(query)
+        self.ranks, query.held = {}, self._held(query) if covered < query.need() else {}
         while covered < query.need():
             if self._must_wait_for_proof(query):
                 return False
-            choice = self._next_first_send(query) or self._next_extra(query)
+            choice = self._next_first_send(query)
+            if choice is None and self._spare_completes(query, covered):
+                choice = self._next_extra(query)
             if choice is None or not self._pay(query, choice[0]):
                 return True
             part, node = choice
@@ -577,6 +608,14 @@
             covered += part.weight
         return False
 
+    def _spare_completes(self, query: QueryState, covered: float) -> bool:
+        """Copies go out only if the store has enough for all parts that the query lacks.
+
+        Guards against spending it on a query of many parts that stays a few short all the same.
+        """
+        lacking = sorted((p.weight for p in query.parts if not p.covered()), reverse=True)
+        return covered + sum(lacking[: int(max(self.spare, 1))]) >= query.need()
+
     def _held(self, query: QueryState) -> dict[NodeId, int]:
         """How many unsent parts of the query each node could take in one call."""
         held: dict[NodeId, int] = {}
@@ -589,8 +628,7 @@
     def _poisoned(self, query: QueryState) -> bool:
         """Whether the query, or one with its key, took down all that it met: it would take down more.
 
-        The evidence is the query's, not the nodes', which served others until then: two of them at least and
-        half of the sends, for a repeat one, lost their connection, and no part is in.
+        The evidence is the query's, not the nodes': lost connections, and no part in.
         """
         sent = sum(len(part.attempts) for part in query.parts)
         if not query.proven and query.crashes >= (1 if query.repeat else max(CRASHES_MOST, sent / 2)):
@@ -603,9 +641,8 @@
     def _must_wait_for_proof(self, query: QueryState) -> bool:
         """Guards against a query that takes down each node that begins a part of it.
 
-        After a lost connection nothing more is sent until another part of the query is in; and while
-        connections are being lost a client's repeat sends one part ahead. Might hurt when nodes die for
-        reasons of their own: such queries take a part's latency longer.
+        After a lost connection nothing more is sent until another part of the query is in; for a while then
+        a client's repeat sends one part ahead. Where nodes die by themselves it costs a part's latency.
         """
         if query.proven or not (query.crashes or query.repeat and self.now < self.crash_at + CRASH_MEMORY):
             return False
@@ -615,9 +652,9 @@
         """Sends on top of work that goes on come out of a store filled by planned ones: no storms."""
         started = sum(p.weight for p in query.parts if any(not a.failed for a in p.attempts))
         if started < query.need() and not any(not a.failed for a in part.attempts):
-            latency = self._typical(query)
-            share = SPARE_SHARE if latency.mean > CROWDED * latency.base else SPARE_SHARE_CALM
-            self.spare = min(self.spare + share, SPARE_MOST)
+            share = SPARE_SHARE if self._crowded(query) else SPARE_SHARE_CALM
+            most = max(SPARE_MOST, SPARE_SHARE_CALM * len(query.parts))
+            self.spare = max(min(self.spare + share, most), self.spare)
         elif self.spare < 1:
             return False
         else:
@@ -641,14 +678,12 @@
         for part in query.parts:
             if part.covered() or not part.attempts or not self._may_still_send(part):
                 continue
-            if part.live and (not self.limits.duplicate or query.spec.effect is not Effect.SAFE):
-                continue
-            if self.now < part.not_before:
+            copies = self.limits.duplicate and query.spec.effect is Effect.SAFE
+            if part.live and not copies or self.now < part.not_before:
                 continue
             found = self._best_replica(part)
-            if found is None or any(found[0][0] > a.node.load(self.now) for a in part.live):
-                continue
-            return part, found[1]
+            if found and all(found[0][0] <= a.node.load(self.now) for a in part.live):
+                return part, found[1]
         return None
 
     def _memory(self) -> int:
@@ -749,16 +784,17 @@
         elif event.result is Result.CONNECT_FAILED and event.elapsed >= self.limits.connect_timeout:
             self.dial_failed_at = self.now
         if event.result is Result.OK:
-            latency = self.latency[attempt.part.query.kind, attempt.part.query.step]
+            latency = self._typical(attempt.part.query)
             ratio = event.elapsed / latency.mean
-            latency.learn(event.elapsed)
+            latency.learn(self.now, event.elapsed)
+            self.newest = latency
             node.usual_load += SPEED_GAIN * (attempt.calls_before - node.usual_load)
             self._learn_good(node, ratio)
         elif event.result in (Result.TIMEOUT, Result.CANCELLED) and attempt.late:
             # No answer tells of a slow node too: guards against taking a jammed only replica for a quick one.
-            mean = self.latency[attempt.part.query.kind, attempt.part.query.step].mean
-            node.ratio = max(node.speed(self.now), 1 + SPEED_GAIN * (event.elapsed / mean - 1))
-            node.ratio_at = self.now
+            mean = self._typical(attempt.part.query).mean
+            ratio = max(node.speed(self.now), 1 + SPEED_GAIN * (event.elapsed / mean - 1))
+            node.ratio, node.ratio_at = ratio, self.now
         elif event.result not in (Result.MOOT, Result.CANCELLED) and not attempt.late:
             self._blame(node, event.result.name)
 
@@ -771,8 +807,7 @@
 
     def _learn_good(self, node: Node, ratio: float) -> None:
         now = self.now
-        node.ratio = node.speed(now) + SPEED_GAIN * (ratio - node.speed(now))
-        node.ratio_at = now
+        node.ratio, node.ratio_at = node.speed(now) + SPEED_GAIN * (ratio - node.speed(now)), now
         if node.failures >= DISTRUST_AFTER:
             self.out.append(Log(f"trust {node.name} again"))
         node.failures = 0
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -127,6 +127,9 @@
     broker = Broker()
     broker.train(60, elapsed=1500 * MS)
     assert broker.policy.latency[0, 1].mean > 1000 * MS
+    assert of(broker.query([0])[2], Refuse)  # not before two of the usual gaps: see the next test
+    broker.advance(5 * SECOND)
+    assert of(broker.query([0], repeat=True)[2], Refuse)  # and never with a client's repeat
     _, _, got = broker.query([0])
     assert len(of(got, Send)) == 1
     _, _, got = broker.query([0])
@@ -366,3 +369,59 @@
     broker.now += MS
     broker.query([0, 1, 2])
     assert len({send.node for send in broker.sends}) == 2  # by now the first call counts
+
+
+def test_trials_of_many_brokers_are_a_part_of_the_usual_traffic() -> None:
+    broker = Broker()
+    broker.train(60, elapsed=1500 * MS)  # a query each 2 s, and the last ones were slow
+    sent = 0
+    for _ in range(60):
+        _, parts, got = broker.query([0])
+        sent += len(of(got, Send))
+        for send in of(got, Send):  # a jam goes on: nothing is heard
+            assert send.part == parts[0]
+        broker.advance(2 * SECOND)
+        broker.query([0], repeat=True)
+    assert 10 <= sent <= 30
+
+
+def test_a_repeat_long_past_its_target_gets_no_work_while_crowded() -> None:
+    broker = Broker(settings((query_class(deadline=6 * SECOND),)))
+    broker.query([0], time_left=5 * SECOND)  # a full try
+    broker.end(broker.sends[-1].part)
+    _, _, got = broker.query([0], time_left=3 * SECOND, repeat=True)  # 3 s old, the target is 2 s
+    assert of(got, Send)  # while all is well a late answer is still worth something
+    broker.end(broker.sends[-1].part)
+    broker.train(60, elapsed=500 * MS)
+    _, _, got = broker.query([0], time_left=3 * SECOND, repeat=True)
+    assert of(got, Refuse)
+
+
+def test_a_query_nearly_whole_is_kept_past_its_target_while_crowded() -> None:
+    for came, kept in ((1, False), (3, True)):
+        broker = Broker(settings(limits={"duplicate": False}))
+        broker.train(60, elapsed=500 * MS)
+        rid, parts, _ = broker.query([0, 0, 1, 2])
+        for part in parts[:came]:
+            broker.end(part, elapsed=500 * MS)
+        got = broker.advance(2100 * MS)
+        assert (rid not in [refusal.id for refusal in of(got, Refuse)]) is kept
+
+
+def test_copies_are_kept_for_queries_that_they_can_complete() -> None:
+    broker = Broker(nodes=[entry(0, 0), entry(1, 0)])
+    broker.train(40, shards=(0,))
+    broker.policy.spare = 3.0
+    broker.query([0] * 30)
+    sent = len(broker.sends)
+    broker.advance(1900 * MS)
+    assert len(broker.sends) == sent  # three copies would not make it whole
+    broker = Broker(nodes=[entry(0, 0), entry(1, 0)])
+    broker.train(40, shards=(0,))
+    broker.policy.spare = 3.0
+    _, parts, _ = broker.query([0] * 30)
+    for part in parts[:28]:
+        broker.end(part)
+    sent = len(broker.sends)
+    broker.advance(1900 * MS)
+    assert len(broker.sends) == sent + 2
