Failures by class too; patience doubled while crowded; trial gaps and giving up late queries taken out again

Shorter ones cut heavy parts (their p99 is 400 to 530 ms at a mean of 106), whose work then goes on. Class shares also guard against a class whose parts a node is slow for; they could hurt a class that failed by chance.

--- a/quincepath/policy.py
+++ b/quincepath/policy.py
@@ -32,7 +32,8 @@
 ZONE_COST = 5.0  # a charge for crossing zones makes a node look slower by this many times the charge
 SPARE_MOST = 10.0  # most spare sends that can be saved up
 SPARE_LEAST = 5.0  # while fewer are saved up no attempt is given up before the end
-RESEND_PATIENCE = 2.0  # where two copies are forbidden an attempt is given up at so many times the late mark
+RESEND_PATIENCE = 2.0  # where two copies are forbidden an attempt is given up at so many times the late mark:
+RESEND_PATIENCE_CROWDED = 4.0  # sooner cuts heavy parts off; when all are slow a new try is slow, too
 SPEED_GAIN = 0.25  # weight of one reply in a node's own latency ratio: follows a slowdown within few replies
 SLOW_RATIO = 3.0  # a reply this many times the typical counts as a failure
 MOSTLY_FAILING = 0.5  # beyond this share of failures a node counts as slower in refusal, up to eight times
@@ -55,8 +56,6 @@
 DIAL_MEMORY = 10 * SECOND  # so long after a connection took too long to open, open ones are preferred
 DIAL_COST = 2  # parts counted on top for a node that would need a new one
 SHORT_MEMORY = 10 * SECOND  # so long after a first try came with little time a repeat's age is not known
-TRIAL_GAPS = 2.0  # in an overload a query goes out for news after so many mean gaps between first tries
-GAP_GAIN = 0.1  # weight of one gap in their mean
 COLD_CORES = 1.75  # cores that a cold node is filled as: not told, two are taken, with an eighth to spare
 CORES_GUESS = 2  # so many parts at once are taken not to slow each other; only damps the expected wait
 HOPELESS_SHARE = 0.35  # refuse at once beyond this share of the time: the slowest part comes on top
@@ -97,7 +96,8 @@
         self.entry = entry
         self.calls = 0
         self.call: Call | None = None
-        self.faults, self.faults_at, self.failures = 0.0, 0, 0
+        self.faults: dict[int | None, tuple[float, int]] = {}  # by class (None: any), share and when
+        self.failures = 0
         self.ratio, self.ratio_at = 1.0, 0
         self.usual_load = 0.0
         self.heard = -SECOND * SECOND  # when it last answered: its connection stays open for a while
@@ -105,19 +105,27 @@
         self.credit = 0.0  # work that may be sent while it is cold
         self.memory = MEMORY_LEAST
 
-    def load(self, now: int) -> int:
+    def load(self, now: int, kind: int) -> int:
         """Own calls out, plus the odds of failure: what an attempt there costs in further ones elsewhere."""
-        faults = self.fault_share(now)
+        faults = self.fault_share(now, kind)
         return self.calls + round(min(FAULT_COST * faults / (1.001 - faults), FAULT_MOST))
 
-    def fault_share(self, now: int) -> float:
-        """Share of attempts that failed here of late, fading while unused."""
-        return self.faults * math.exp((self.faults_at - now) / (FAULT_MEETINGS * self.memory))
+    def fault_share(self, now: int, kind: int) -> float:
+        """Share of attempts that failed here of late, fading while unused: the class's own or that of all.
 
-    def note(self, now: int, fault: float) -> None:
+        By class, too: guards against a node that fails one class while good replies of others speak for it.
+        """
+        return max(self._faded(now, None), self._faded(now, kind))
+
+    def _faded(self, now: int, kind: int | None) -> float:
+        share, at = self.faults.get(kind, (0.0, 0))
+        return share * math.exp((at - now) / (FAULT_MEETINGS * self.memory))
+
+    def note(self, now: int, kind: int, fault: float) -> None:
         """One attempt more has ended: 1 badly, 0 well."""
-        share = self.fault_share(now)
-        self.faults, self.faults_at = share + FAULT_GAIN * (fault - share), now
+        for key in (None, kind):
+            share = self._faded(now, key)
+            self.faults[key] = share + FAULT_GAIN * (fault - share), now
 
     def speed(self, now: int) -> float:
         """Latency here over the typical one, fading to 1 while unused."""
@@ -225,7 +233,6 @@
         self.full_try: dict[int, int] = {}  # by class, the most time that a client gave a try
         self.short_at = -SHORT_MEMORY
         self.newest = self.latency[0, 1]  # of the kind of part that was in last
-        self.trial_at, self.first_at, self.gap = 0, 0, 0.0  # gap: mean time between clients' first tries
         self.first_send = self.sends = 0
         self.spare = SPARE_MOST
         self.refused = self.refused_at = 0
@@ -301,7 +308,7 @@
                 self._chill(node, entry.since)
         elif entry.since > node.entry.since and entry.phase is Phase.READY:
             # A restart: what was out there is lost, and what was learned of it is void.
-            node.faults, node.failures, node.ratio = 0.0, 0, 1.0
+            node.faults, node.failures, node.ratio = {}, 0, 1.0
             self._chill(node, entry.since)
         node.entry = entry
 
@@ -319,7 +326,7 @@
         Where calls cost work a tie goes to the node that shares it among most parts.
         """
         expected = max(node.speed(self.now), 1 / self._warmth(node))
-        load = node.load(self.now)
+        load = node.load(self.now, query.kind)
         if self._may_join(node):
             load -= 1
         elif query.held:
@@ -385,10 +392,6 @@
         self.budget.taken.append(self.now)
         spec = self.settings.classes[event.kind]
         end = self.now + max(event.time_left - ANSWER_TICKS * self.settings.tick, 0)
-        if not event.repeat:
-            gap = self.now - (self.first_at or self.now)
-            self.gap += (GAP_GAIN if self.gap else 1.0) * (gap - self.gap)
-            self.first_at = self.now
         query = QueryState(event, spec, self._aim(event, spec), end)
         self.queries[query.id] = self.by_number[query.number] = query
         return query
@@ -432,12 +435,10 @@
             self._give_up(query)
         elif self.now >= query.end or self._poisoned(query) or not self._can_finish(query):
             self._give_up(query)
-        elif query.fresh and not self._trial_due(query) and self._hopeless(query):
+        elif query.fresh and (self.tried[query.kind] or query.repeat) and self._hopeless(query):
             self._note_refusal()
             self._give_up(query)
         else:
-            if query.fresh:
-                self.trial_at = self.now
             self.tried[query.kind] += query.fresh
             query.fresh = False
             self._note_calm()
@@ -504,10 +505,7 @@
         left = sum(p.weight for p in query.parts if p.ok or p.live or self._may_still_send(p))
         if left < query.need() and (left < query.floor() or not any(p.live for p in query.parts)):
             return False
-        if self.now < query.aim or not query.spec.late_worth:
-            return self.now < query.aim
-        # While crowded late work is only for what earns more by it than the same work for another query.
-        return query.spec.late_worth > 1 - query.weight_in() or not self._crowded(query)
+        return self.now < query.aim or query.spec.late_worth > 0
 
     def _may_still_send(self, part: PartState) -> bool:
         if part.dead or len(part.attempts) >= self.limits.attempts or not any(self._replicas(part.shard)):
@@ -530,15 +528,6 @@
             self.out.append(Log(f"overload ended: {self.refused} queries refused"))
             self.refused = 0
 
-    def _trial_due(self, query: QueryState) -> bool:
-        """Whether a query is tried whatever is expected, for news.
-
-        Guards against refusing for ever on old news, after a stall of this broker as after overload. Of many
-        brokers each would be on trial all the time: trials are kept to a part of the usual traffic.
-        """
-        due = self.now >= self.trial_at + TRIAL_GAPS * self.gap
-        return due and not self.tried[query.kind] and not query.repeat
-
     def _news(self, kind: int, step: int) -> float:
         """A class's typical latency now: without a part for long, moved as that of the class last seen."""
         latency = self.latency[kind, step]
@@ -550,6 +539,8 @@
         """Whether even the best choice is expected to finish after the target or the client's time.
 
         While crowded repeats are refused: they would keep up the overload; first tries have their whole time.
+        A first try is asked only while another query of the class is open, whose news is on its way: guards
+        against refusing a class for ever on old news, after a stall of this broker as after overload.
         """
         if query.repeat and self._crowded(query):
             return True
@@ -571,7 +562,7 @@
         Failures count where most attempts fail (guards against taking a jammed replica's dead sibling for
         a quick one; fewer would refuse all traffic), and so does a cold node's wait.
         """
-        sound = 1 - max(node.fault_share(self.now) - MOSTLY_FAILING, 0.0)
+        sound = 1 - max(node.fault_share(self.now, part.query.kind) - MOSTLY_FAILING, 0.0)
         crowd = (node.calls + CORES_GUESS) / (node.usual_load + CORES_GUESS)
         return mean * node.speed(self.now) * crowd / sound**3 + self._cold_wait(node, part)
 
@@ -589,7 +580,7 @@
             for attempt in part.live:
                 if not attempt.late and self.now >= attempt.sent + late:
                     attempt.late = True
-                    self._blame(attempt.node, "LATE")
+                    self._blame(attempt.node, query.kind, "LATE")
 
     def _top_up(self, query: QueryState) -> bool:
         """Send until enough weight is covered; tells whether something had to be held for want of a node."""
@@ -682,7 +673,7 @@
             if part.live and not copies or self.now < part.not_before:
                 continue
             found = self._best_replica(part)
-            if found and all(found[0][0] <= a.node.load(self.now) for a in part.live):
+            if found and all(found[0][0] <= a.node.load(self.now, query.kind) for a in part.live):
                 return part, found[1]
         return None
 
@@ -721,7 +712,8 @@
         resendable = query.spec.effect is not Effect.UNSAFE and len(part.attempts) < self.limits.attempts
         if self.limits.duplicate or not resendable or self.now >= query.aim or self.spare < SPARE_LEAST:
             return left
-        return min(left, int(RESEND_PATIENCE * self._late_after(query)))
+        patience = RESEND_PATIENCE_CROWDED if self._crowded(query) else RESEND_PATIENCE
+        return min(left, int(patience * self._late_after(query)))
 
     def _next_look(self, query: QueryState, blocked: bool) -> int:
         late = self._late_after(query)
@@ -789,26 +781,26 @@
             latency.learn(self.now, event.elapsed)
             self.newest = latency
             node.usual_load += SPEED_GAIN * (attempt.calls_before - node.usual_load)
-            self._learn_good(node, ratio)
+            self._learn_good(node, attempt.part.query.kind, ratio)
         elif event.result in (Result.TIMEOUT, Result.CANCELLED) and attempt.late:
             # No answer tells of a slow node too: guards against taking a jammed only replica for a quick one.
             mean = self._typical(attempt.part.query).mean
             ratio = max(node.speed(self.now), 1 + SPEED_GAIN * (event.elapsed / mean - 1))
             node.ratio, node.ratio_at = ratio, self.now
         elif event.result not in (Result.MOOT, Result.CANCELLED) and not attempt.late:
-            self._blame(node, event.result.name)
+            self._blame(node, attempt.part.query.kind, event.result.name)
 
-    def _blame(self, node: Node, why: str) -> None:
+    def _blame(self, node: Node, kind: int, why: str) -> None:
         """One failure or late part more, whatever its cause; if all are late the choice is as before."""
         node.failures += 1
-        node.note(self.now, 1.0)
+        node.note(self.now, kind, 1.0)
         if node.failures == DISTRUST_AFTER:
             self.out.append(Log(f"distrust {node.name}: {node.failures} failures in a row, last {why}"))
 
-    def _learn_good(self, node: Node, ratio: float) -> None:
+    def _learn_good(self, node: Node, kind: int, ratio: float) -> None:
         now = self.now
         node.ratio, node.ratio_at = node.speed(now) + SPEED_GAIN * (ratio - node.speed(now)), now
         if node.failures >= DISTRUST_AFTER:
             self.out.append(Log(f"trust {node.name} again"))
         node.failures = 0
-        node.note(now, 1.0 if ratio >= SLOW_RATIO else 0.0)
+        node.note(now, kind, 1.0 if ratio >= SLOW_RATIO else 0.0)
