At most as many parts join a call as run side by side (two are assumed, as for the expected wait)

Ruled out before: stragglers making it look crowded (clip at 2.5: no change). Uses CORES_GUESS, no new number. Could hurt where a call costs many times a part's work.

--- a/quincepath/policy.py
+++ b/quincepath/policy.py
@@ -57,7 +57,7 @@
 DIAL_COST = 2  # parts counted on top for a node that would need a new one
 SHORT_MEMORY = 10 * SECOND  # so long after a first try came with little time a repeat's age is not known
 COLD_CORES = 1.75  # cores that a cold node is filled as: not told, two are taken, with an eighth to spare
-CORES_GUESS = 2  # so many parts at once are taken not to slow each other; only damps the expected wait
+CORES_GUESS = 2  # so many parts at once are taken not to slow each other: in a call, and in the expected wait
 HOPELESS_SHARE = 0.35  # refuse at once beyond this share of the time: the slowest part comes on top
 REASK_AFTER = 2 * SECOND  # pause before a failed subscription is asked for again
 LIST_TOKEN = 1 << 40  # timer token of the node list; query ids stay below 2^32
@@ -330,7 +330,7 @@
         if self._may_join(node):
             load -= 1
         elif query.held:
-            shared = max(min(query.held.get(node.id, 1), self.limits.batch), 1)
+            shared = max(min(query.held.get(node.id, 1), self.limits.batch, CORES_GUESS), 1)
             expected *= 1 + self.settings.call_work / self._typical(query).base / shared
         if node.entry.zone != self.settings.zone:
             expected *= 1 + ZONE_COST * self.settings.cross_zone_charge
@@ -340,8 +340,9 @@
         return load, expected, self.random.random()
 
     def _may_join(self, node: Node) -> bool:
-        """Whether a send now would travel in a call already begun in this round."""
-        return node.call is not None and node.call.at == self.now and node.call.parts < self.limits.batch
+        """Whether a send now would join a call begun in this round: not more than run there side by side."""
+        room = min(self.limits.batch, CORES_GUESS)
+        return node.call is not None and node.call.at == self.now and node.call.parts < room
 
     def _best_replica(self, part: PartState) -> tuple[Rank, Node] | None:
         """The part's first choice; ranks are kept for the round, until a send changes them."""
