--- a/quincepath/interface.py
+++ b/quincepath/interface.py
@@ -85,6 +85,7 @@
     ramp_time: int
     fall_multiple: float
     overload_for: int
+    must_ask_in: int
     budget_window: int
     budget_free: float
     budget_ratio: float
--- a/quincepath/policy.py
+++ b/quincepath/policy.py
@@ -59,7 +59,8 @@
 COLD_CORES = 1.75  # cores that a cold node is filled as: not told, two are taken, with an eighth to spare
 CORES_GUESS = 2  # so many parts at once are taken not to slow each other: in a call, and in the expected wait
 HOPELESS_SHARE = 0.35  # refuse at once beyond this share of the time: the slowest part comes on top
-REASK_AFTER = 2 * SECOND  # pause before a failed subscription is asked for again
+REASK_SHARE = 0.2  # of the time in which the list must be asked: mean pause after a failed subscription
+REASK_LIMIT = 10 * SECOND  # taken for that time where it is not told
 LIST_TOKEN = 1 << 40  # timer token of the node list; query ids stay below 2^32
 
 Rank = tuple[int, float, float]
@@ -283,7 +284,9 @@
             self.asked = True
             self.out.append(Watch(True))
         if event.scope is Scope.FAILED:
-            self.out.append(SetTimer(self.now + REASK_AFTER, LIST_TOKEN))
+            # At times of each broker's own: guards against all failing in step again at a small list service.
+            pause = (self.rules.must_ask_in or REASK_LIMIT) * REASK_SHARE * (0.5 + self.random.random())
+            self.out.append(SetTimer(self.now + int(pause), LIST_TOKEN))
             return
         if event.scope is not Scope.DELTA:
             named = dict.fromkeys(entry.node for entry in event.entries)
@@ -306,8 +309,8 @@
             node = self.nodes[entry.node] = Node(entry)
             if entry.since:
                 self._chill(node, entry.since)
-        elif entry.since > node.entry.since and entry.phase is Phase.READY:
-            # A restart: what was out there is lost, and what was learned of it is void.
+        elif entry.since > node.cold_from:
+            # A restart, ready or not yet: what was out there is lost, and what was learned of it is void.
             node.faults, node.failures, node.ratio = {}, 0, 1.0
             self._chill(node, entry.since)
         node.entry = entry
@@ -322,12 +325,12 @@
     def _rank(self, node: Node, query: QueryState) -> Rank:
         """The design's order: least loaded first; ties by expected latency, then at random.
 
-        The count is by call: one begun in this round, which a part may join, is not held against the node.
-        Where calls cost work a tie goes to the node that shares it among most parts.
+        The count is by call: one begun in this round, which a part may join, is not held against the node,
+        up to what runs there side by side. A tie goes to where a call's own work is shared by most parts.
         """
         expected = max(node.speed(self.now), 1 / self._warmth(node))
         load = node.load(self.now, query.kind)
-        if self._may_join(node):
+        if node.call and self._may_join(node) and node.call.parts < CORES_GUESS:
             load -= 1
         elif query.held:
             shared = max(min(query.held.get(node.id, 1), self.limits.batch, CORES_GUESS), 1)
@@ -340,21 +343,20 @@
         return load, expected, self.random.random()
 
     def _may_join(self, node: Node) -> bool:
-        """Whether a send now would join a call begun in this round: not more than run there side by side."""
-        room = min(self.limits.batch, CORES_GUESS)
-        return node.call is not None and node.call.at == self.now and node.call.parts < room
+        """Whether a send now would travel in a call begun in this round."""
+        return node.call is not None and node.call.at == self.now and node.call.parts < self.limits.batch
 
     def _best_replica(self, part: PartState) -> tuple[Rank, Node] | None:
         """The part's first choice; ranks are kept for the round, until a send changes them."""
         busy = [attempt.node for attempt in part.live]
-        best = None
+        best: tuple[Rank, Node] | None = None
         for node in self._replicas(part.shard):
             if node.id not in self.ranks:
                 cold = self._cold_wait(node, part)
                 self.ranks[node.id] = None if cold else self._rank(node, part.query)
             rank = self.ranks[node.id]
-            if rank is not None and node not in busy and (best is None or rank < best[0]):
-                best = rank, node
+            if rank is not None and node not in busy:
+                best = (rank, node) if best is None or rank < best[0] else best
         return best
 
     def _warmth(self, node: Node) -> float:
@@ -385,7 +387,8 @@
         return max(work - node.credit, 0.0) / rate
 
     def _work(self, part: PartState) -> float:
-        return self._typical(part.query).base
+        """What a part is booked at: the rule counts by class, a second step's lighter part like a first's."""
+        return self.latency[part.query.kind, 1].base + self.settings.call_work
 
     # --- queries ---
 
--- a/quincepath/settings.py
+++ b/quincepath/settings.py
@@ -100,6 +100,7 @@
             ramp_time=r.get("rules.rampTime", int),
             fall_multiple=r.get("rules.fallMultiple", float),
             overload_for=r.get("rules.overloadFor", int),
+            must_ask_in=r.get("rules.mustAskIn", int, 0),
             budget_window=budget_window,
             budget_free=r.get("rules.freeResends", float, 0.0),
             budget_ratio=r.get("rules.repeatRatio", float, 0.0),
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -68,7 +68,7 @@
             **(limits or {}),
         ),
         rules=replace(
-            Rules(0.2, 16 * SECOND, 2.0, 2 * SECOND, 0, 0.0, 0.0),
+            Rules(0.2, 16 * SECOND, 2.0, 2 * SECOND, 10 * SECOND, 0, 0.0, 0.0),
             **(rules or {}),
         ),
     )
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -232,6 +232,42 @@
     assert sum(sent[:8]) > 0  # no starving while it warms
 
 
+def test_parts_of_a_second_step_are_booked_at_a_cold_node_like_those_of_the_first() -> None:
+    broker = Broker(settings((query_class(second_step=1),), call_work=30 * MS), nodes=[entry(0, 0)])
+    broker.policy.latency[0, 2].base = 1.0
+    _, parts, _ = broker.query([0])
+    broker.end(parts[0])
+    node = broker.policy.nodes[node_id(0)]
+    before = node.credit
+    broker.more_parts([0])
+    assert before - node.credit == broker.policy.latency[0, 1].base + 30 * MS
+
+
+@pytest.mark.parametrize("first", [Phase.DRAINING, Phase.GONE])
+def test_a_start_heard_of_before_the_node_is_ready_makes_it_cold(first: Phase) -> None:
+    broker = Broker(nodes=[entry(0, 0), entry(2, 1)])
+    broker.query([0, 0, 0, 0])
+    broker.feed(Members(Scope.DELTA, 2, (entry(0, 0, first, since=broker.now),)))
+    broker.feed(Members(Scope.DELTA, 3, (entry(0, 0, Phase.READY, since=broker.now),)))
+    before = len(broker.sends)
+    for _ in range(5):
+        broker.query([0])
+    assert len(broker.sends) <= before + 1
+
+
+def test_replacements_in_waves_are_cold_one_by_one() -> None:
+    broker = Broker(nodes=[entry(number, number % 3) for number in range(6)])
+    for wave in range(4):
+        broker.advance(2 * SECOND)
+        new = [entry(10 + 6 * wave + j, j % 3, since=broker.now) for j in range(6)]
+        broker.feed(Members(Scope.FULL, 2 + wave, tuple(new)))
+        before = len(broker.sends)
+        for _ in range(10):
+            broker.query([0])
+        fresh = [send.node for send in broker.sends[before:]]
+        assert all(fresh.count(node) <= 1 for node in fresh)
+
+
 def test_held_parts_go_out_as_the_cold_node_warms() -> None:
     broker = Broker(nodes=[entry(0, 0, since=100 * SECOND)])
     for _ in range(20):
@@ -349,6 +385,16 @@
     assert of(broker.advance(5 * SECOND), Watch) == [Watch(True)]
 
 
+def test_brokers_ask_for_the_list_again_at_times_of_their_own_within_what_the_rules_set() -> None:
+    pauses = []
+    for seed in range(20):
+        broker = Broker(settings(must_ask=True, rules={"must_ask_in": SECOND}), seed=seed)
+        broker.feed(Members(Scope.FAILED, 0, ()))
+        pauses.append(broker.timers[-1].at - broker.now)
+    assert max(pauses) < SECOND
+    assert len(set(pauses)) == 20 and max(pauses) > 1.5 * min(pauses)
+
+
 def test_events_for_ids_no_longer_held_are_ignored() -> None:
     broker = Broker()
     broker.feed(Part(50, 99, 1.0, 0, 0, 0))
