--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -447,3 +447,39 @@
     broker = Broker()
     _, _, got = broker.query([0, 1], tenant=999)
     assert len(of(got, Send)) == 2
+
+
+def test_keyed_part_with_a_window_shorter_than_its_target_is_resent_inside_it_or_never() -> None:
+    spec = query_class(target=2 * SECOND, effect=Effect.KEYED, window=700 * MS, late_worth=0.0)
+    broker = Broker(settings((spec,), limits={"duplicate": False}), nodes=[entry(0, 0), entry(1, 0)])
+    broker.train(40, shards=(0,))
+    _, parts, _ = broker.query([0])
+    first = broker.sends[-1]
+    assert first.timeout < 700 * MS  # leaves a time to resend
+    broker.advance(first.timeout)
+    assert of(broker.end(parts[0], Result.TIMEOUT, elapsed=first.timeout), Send)
+    broker.advance(700 * MS - first.timeout)
+    got = broker.end(parts[0], Result.TIMEOUT, elapsed=300 * MS)
+    assert not of(got, Send) and len(of(got, Fail)) == 1
+
+
+def test_a_list_that_fails_all_day_is_asked_for_again_and_queries_are_served_from_the_old_one() -> None:
+    broker = Broker(settings(must_ask=True, rules={"must_ask_in": 0}, instances=90))
+    for _ in range(30):
+        broker.feed(Members(Scope.FAILED, 0, ()))
+        assert of(broker.advance(4 * SECOND), Watch) == [Watch(True)]
+    assert of(broker.query([0, 1])[2], Send)
+
+
+def test_one_server_one_broker_one_attempt_still_ends_every_query() -> None:
+    config = settings(limits={"attempts": 1, "duplicate": False}, instances=1, cells=1)
+    broker = Broker(config, nodes=[entry(0, 0)])
+    rids = []
+    for result in (Result.OK, Result.ERROR, Result.FULL, Result.TIMEOUT):
+        rid, parts, _ = broker.query([0])
+        rids.append(rid)
+        broker.end(parts[0], result)
+        broker.advance(5 * SECOND)
+    ended = [a.id for a in broker.actions if isinstance(a, Answer | Refuse | Fail)]
+    assert ended == rids
+    assert len(broker.sends) == 4
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -182,6 +182,17 @@
     assert read_settings(FACTS).rules.budget_window == 0
 
 
+def test_settings_of_calls_and_lists_are_passed_on_and_absent_ones_mean_none() -> None:
+    facts = FACTS + "specifics.perCallWork=53000000\nrules.mustAskIn=7000000000\n"
+    assert read_settings(facts).call_work == 53_000_000
+    assert read_settings(facts).rules.must_ask_in == 7_000_000_000
+    left_out = ("specifics.perCallWork", "rules.mustAskIn")
+    bare = "".join(line + "\n" for line in FACTS.splitlines() if not line.startswith(left_out))
+    assert read_settings(bare).call_work == 0 and read_settings(bare).rules.must_ask_in == 0
+    with pytest.raises(SettingsError, match="specifics.perCallWork is unreadable"):
+        read_settings(bare + "specifics.perCallWork=much\n")
+
+
 def test_a_bad_instance_is_fatal_alone() -> None:
     sink = io.BytesIO()
     serve(io.BytesIO(batch(1, [start(3, "tick=1")], b"tick=1")), sink)
