--- a/quincepath/policy.py
+++ b/quincepath/policy.py
@@ -177,7 +177,6 @@
         self.timer = 0
         self.repeat, self.key = event.repeat, event.key
         self.crashes = 0  # attempts whose connection was lost
-        self.held: dict[NodeId, int] = {}  # unsent parts by node that could take them
         self.proven = False  # some part is in: the query does not take down what it meets
 
     def need(self) -> float:
@@ -325,16 +324,14 @@
     def _rank(self, node: Node, query: QueryState) -> Rank:
         """The design's order: least loaded first; ties by expected latency, then at random.
 
-        The count is by call: one begun in this round, which a part may join, is not held against the node,
-        up to what runs there side by side. A tie goes to where a call's own work is shared by most parts.
+        The count is by call. While crowded, where calls cost work of their own, one begun in this round that
+        a part may join is not held against the node, up to what runs there side by side.
         """
         expected = max(node.speed(self.now), 1 / self._warmth(node))
         load = node.load(self.now, query.kind)
-        if node.call and self._may_join(node) and node.call.parts < CORES_GUESS:
-            load -= 1
-        elif query.held:
-            shared = max(min(query.held.get(node.id, 1), self.limits.batch, CORES_GUESS), 1)
-            expected *= 1 + self.settings.call_work / self._typical(query).base / shared
+        if node.call and self._may_join(node) and node.call.parts < CORES_GUESS and self._crowded(query):
+            load -= bool(self.settings.call_work)
+            expected /= 1 + self.settings.call_work / self._typical(query).base
         if node.entry.zone != self.settings.zone:
             expected *= 1 + ZONE_COST * self.settings.cross_zone_charge
         if self.now < self.dial_failed_at + DIAL_MEMORY and self.now > node.heard + self.limits.idle_close:
@@ -589,7 +586,7 @@
     def _top_up(self, query: QueryState) -> bool:
         """Send until enough weight is covered; tells whether something had to be held for want of a node."""
         covered = sum(part.weight for part in query.parts if part.covered())
-        self.ranks, query.held = {}, self._held(query) if covered < query.need() else {}
+        self.ranks = {}
         while covered < query.need():
             if self._must_wait_for_proof(query):
                 return False
@@ -611,15 +608,6 @@
         lacking = sorted((p.weight for p in query.parts if not p.covered()), reverse=True)
         return covered + sum(lacking[: int(max(self.spare, 1))]) >= query.need()
 
-    def _held(self, query: QueryState) -> dict[NodeId, int]:
-        """How many unsent parts of the query each node could take in one call."""
-        held: dict[NodeId, int] = {}
-        if self.settings.call_work and self.limits.batch > 1:
-            for part in query.parts:
-                for node in () if part.attempts else self._replicas(part.shard):
-                    held[node.id] = held.get(node.id, 0) + 1
-        return held
-
     def _poisoned(self, query: QueryState) -> bool:
         """Whether the query, or one with its key, took down all that it met: it would take down more.
 
@@ -693,7 +681,6 @@
             self.budget.extra.append(self.now)
         for other in self._replicas(part.shard):  # their ranks have changed
             self.ranks.pop(other.id, None)
-            part.query.held[other.id] = part.query.held.get(other.id, 0) - (not part.attempts)
         call = node.call
         if call is None or not self._may_join(node):
             call = node.call = Call(self.now)
