A keyed part's time-out leaves time for its resend inside the window

A suspect from reading the code: with four late marks while crowded a keyed part waited up to 1.05 s where repeats are dropped for 0.75 s, so it could never be sent again (the rule held: _may_still_send). Could hurt where keyed parts are often slower than that: two attempts then in place of one.

--- a/quincepath/policy.py
+++ b/quincepath/policy.py
@@ -34,6 +34,7 @@
 SPARE_LEAST = 5.0  # while fewer are saved up no attempt is given up before the end
 RESEND_PATIENCE = 2.0  # where two copies are forbidden an attempt is given up at so many times the late mark:
 RESEND_PATIENCE_CROWDED = 4.0  # sooner cuts heavy parts off; when all are slow a new try is slow, too
+WINDOW_SHARE = 0.7  # of a keyed class's window that an attempt may take: the rest is for its resend to leave
 SPEED_GAIN = 0.25  # weight of one reply in a node's own latency ratio: follows a slowdown within few replies
 SLOW_RATIO = 3.0  # a reply this many times the typical counts as a failure
 MOSTLY_FAILING = 0.5  # beyond this share of failures a node counts as slower in refusal, up to eight times
@@ -704,7 +705,10 @@
         if self.limits.duplicate or not resendable or self.now >= query.aim or self.spare < SPARE_LEAST:
             return left
         patience = RESEND_PATIENCE_CROWDED if self._crowded(query) else RESEND_PATIENCE
-        return min(left, int(patience * self._late_after(query)))
+        wait = int(patience * self._late_after(query))
+        if query.spec.effect is Effect.KEYED:  # a resend has to go out while repeats are still dropped
+            wait = min(wait, int(WINDOW_SHARE * query.spec.window))
+        return min(left, wait)
 
     def _next_look(self, query: QueryState, blocked: bool) -> int:
         late = self._late_after(query)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -453,6 +453,8 @@
     spec = query_class(target=2 * SECOND, effect=Effect.KEYED, window=700 * MS, late_worth=0.0)
     broker = Broker(settings((spec,), limits={"duplicate": False}), nodes=[entry(0, 0), entry(1, 0)])
     broker.train(40, shards=(0,))
+    latency = broker.policy.latency[0, 1]
+    latency.mean = 2.5 * latency.base  # crowded, when other classes wait longest
     _, parts, _ = broker.query([0])
     first = broker.sends[-1]
     assert first.timeout < 700 * MS  # leaves a time to resend
