--- /dev/null
+++ b/quincepath/__main__.py
@@ -0,0 +1,6 @@
+"""``python -m quincepath`` is the command line."""
+
+from quincepath.cli.main import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/quincepath/broker/asks.py
@@ -0,0 +1,156 @@
+"""What the driver is told and what it orders: plain values, no protocol, no socket.
+
+Times are whole nanoseconds of one monotonic clock. A *handle* is the edge's own number of a client's ask;
+the driver returns it unaltered. Bodies and payloads are opaque: fronts and the upstream know what is in them.
+"""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+from quincepath.interface import Members, NodeId, Result
+
+
+@dataclass(slots=True, frozen=True)
+class PartAsk:
+    """One part: what to fetch at a shard; the weights of one step sum to 1."""
+
+    shard: int
+    weight: float
+    payload: Any
+
+
+FollowUp = Callable[[Mapping[int, Any]], tuple[PartAsk, ...]]
+
+
+@dataclass(slots=True, frozen=True)
+class Ask:
+    """A client's query, cut into parts. ``follow`` makes the second step from the bodies by shard."""
+
+    handle: int
+    kind: int
+    time_left: int
+    parts: tuple[PartAsk, ...]
+    tenant: int = 0
+    key: int = 0
+    repeat: bool = False
+    follow: FollowUp | None = None
+    name: str = ""  # the client's own id, for logs and records only
+
+
+# --- inputs ---
+
+
+@dataclass(slots=True, frozen=True)
+class Arrived:
+    """A query was taken; from now on it is owed one final answer."""
+
+    ask: Ask
+
+
+@dataclass(slots=True, frozen=True)
+class Ended:
+    """An attempt ended; ``body`` is its decoded answer where the result is OK, ``cause`` why it is not."""
+
+    part: int
+    attempt: int
+    result: Result
+    body: Any = None
+    cause: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class ClientLeft:
+    """The client of a query has gone: nobody is there to be answered."""
+
+    handle: int
+
+
+@dataclass(slots=True, frozen=True)
+class Listed:
+    """News of the list of holders."""
+
+    members: Members
+
+
+Input = Arrived | Ended | ClientLeft | Listed
+
+
+# --- orders ---
+
+
+class Verdict(Enum):
+    """How a query ended; each has one."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+@dataclass(slots=True, frozen=True)
+class AttemptOrder:
+    """One attempt of one part, to be given up at ``deadline``."""
+
+    part: int
+    attempt: int
+    shard: int
+    step: int
+    deadline: int
+    payload: Any
+    query_name: str
+
+
+@dataclass(slots=True, frozen=True)
+class StartCall:
+    """Send these attempts to a node in one call."""
+
+    node: NodeId
+    attempts: tuple[AttemptOrder, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class StopAttempt:
+    """Stop waiting for an attempt; its ``Ended`` is still owed."""
+
+    part: int
+    attempt: int
+
+
+@dataclass(slots=True, frozen=True)
+class Finish:
+    """The one final answer. ``bodies`` are those of the parts that are in, as (step, shard, body)."""
+
+    handle: int
+    verdict: Verdict
+    whole: bool
+    parts_in: int
+    parts_asked: int
+    bodies: tuple[tuple[int, int, Any], ...]
+    retry_in: int
+    cause: str
+    attempts: int
+    took: int
+
+
+@dataclass(slots=True, frozen=True)
+class Told:
+    """A line for on-call staff from the module."""
+
+    text: str
+
+
+@dataclass(slots=True, frozen=True)
+class Breach:
+    """A broken contract between driver and module, made harmless; ``name`` is one of a fixed few."""
+
+    name: str
+    detail: str
+
+
+@dataclass(slots=True, frozen=True)
+class ReadList:
+    """The module wants the list of holders read anew."""
+
+
+Order = StartCall | StopAttempt | Finish | Told | Breach | ReadList
--- /dev/null
+++ b/quincepath/broker/driver.py
@@ -0,0 +1,421 @@
+"""The pure driver between the edge and the module: ``step(now, inputs) -> orders``.
+
+It owns ids, the one final answer, deadlines, attempts by part and results by part. It decides nothing: each
+choice is the module's. Where either side breaks the contract (a send for an ended query, a second final
+answer, an ending of an unknown attempt, a claim that the parts in don't bear out) the driver stays safe,
+counts the breach by name and says so in an order; nothing of that kind reaches a socket.
+
+One batch a turn: inputs in order of arrival, then due timers. The module takes in all of them before it
+decides, so a reply that comes in the same turn as the query's last moment is still counted.
+"""
+
+import heapq
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from quincepath.broker.asks import (
+    Arrived,
+    Ask,
+    AttemptOrder,
+    Breach,
+    ClientLeft,
+    Ended,
+    Finish,
+    Input,
+    Listed,
+    Order,
+    PartAsk,
+    ReadList,
+    StartCall,
+    StopAttempt,
+    Told,
+    Verdict,
+)
+from quincepath.interface import (
+    Action,
+    Answer,
+    Cancel,
+    Event,
+    Fail,
+    Fetch,
+    Left,
+    Log,
+    Members,
+    NodeId,
+    Outcome,
+    Part,
+    Phase,
+    Probe,
+    Query,
+    Refuse,
+    Result,
+    Scope,
+    Send,
+    SetTimer,
+    Settings,
+    TimerFired,
+    Watch,
+)
+
+TOLERANCE = 1e-4  # sums of weights may fall so much short: rounding
+
+
+class Module(Protocol):
+    """What the driver needs of the decisions: all events of a moment in, all actions out."""
+
+    def handle(self, now: int, events: Iterable[Event]) -> list[Action]:
+        """Take in the events, then decide."""
+        ...
+
+
+@dataclass(slots=True)
+class _Attempt:
+    node: NodeId
+    sent: int
+    ended: bool = False
+
+
+@dataclass(slots=True)
+class _Part:
+    id: int
+    query: "_Query"
+    ask: PartAsk
+    step: int
+    attempts: list[_Attempt] = field(default_factory=list)
+    body: Any = None
+    ok: bool = False
+
+    def out(self) -> bool:
+        return any(not attempt.ended for attempt in self.attempts)
+
+
+@dataclass(slots=True)
+class _Query:
+    id: int
+    ask: Ask
+    began: int
+    deadline: int
+    parts: list[_Part]
+    step: int = 1
+    whole: bool = True
+    over: bool = False
+    sent: int = 0
+    sent_at: int = -1
+
+    def share_in(self, step: int) -> float:
+        return sum(part.ask.weight for part in self.parts if part.step == step and part.ok)
+
+
+@dataclass(slots=True)
+class _Listed:
+    cell: int
+    phase: Phase
+    told: int  # when this broker was told that it drains or is gone
+
+
+class Driver:
+    """One broker's bookkeeping around one module. ``grace`` is rule 3's, in nanoseconds."""
+
+    def __init__(self, module: Module, settings: Settings, grace: int) -> None:
+        self.module, self.settings, self.grace = module, settings, grace
+        self.now = 0
+        self.breaches: Counter[str] = Counter()
+        self.queries: dict[int, _Query] = {}
+        self.parts: dict[int, _Part] = {}
+        self._by_handle: dict[int, _Query] = {}
+        self._nodes: dict[NodeId, _Listed] = {}
+        self._timers: list[tuple[int, int, int]] = []
+        self._ends: list[tuple[int, int]] = []
+        self._carried: list[Event] = []  # for the next batch: second steps, moot outcomes
+        self._ids = 0
+        self._timer_count = 0
+        self._orders: list[Order] = []
+        self._calls: dict[NodeId, list[list[AttemptOrder]]] = {}
+
+    # --- what the edge calls ---
+
+    def next_due(self) -> int | None:
+        """When ``step`` must be called at the latest, even without inputs; None: never."""
+        if self._carried:
+            return self.now
+        due = [heap[0][0] for heap in (self._timers, self._ends) if heap]
+        return min(due, default=None)
+
+    def open_work(self) -> int:
+        """Queries and parts now held, ended ones with attempts still out among them."""
+        return len(self.queries) + len(self.parts)
+
+    def step(self, now: int, inputs: Iterable[Input]) -> list[Order]:
+        """Feed one batch to the module and turn its actions into orders, in the module's sequence."""
+        self.now = max(now, self.now)
+        self._orders, self._calls = [], {}
+        events, self._carried = self._carried, []
+        for item in inputs:
+            self._take_in(item, events)
+        while self._timers and self._timers[0][0] <= self.now:
+            events.append(TimerFired(heapq.heappop(self._timers)[2]))
+        if events:
+            for action in self.module.handle(self.now, events):
+                self._apply(action)
+        self._end_overdue()
+        # Starts go first: a stop in the same batch then always names an attempt that the edge knows.
+        starts = [StartCall(node, tuple(call)) for node, calls in self._calls.items() for call in calls]
+        return [*starts, *self._orders]
+
+    # --- inputs to events ---
+
+    def _take_in(self, item: Input, events: list[Event]) -> None:
+        match item:
+            case Arrived(ask):
+                self._arrived(ask, events)
+            case Ended():
+                self._ended(item, events)
+            case ClientLeft(handle):
+                query = self._by_handle.get(handle)
+                if query is not None:
+                    events.append(Left(query.id))
+                    self._close(query)
+            case Listed(members):
+                self._listed(members)
+                events.append(members)
+
+    def _next_id(self) -> int:
+        self._ids += 1
+        return self._ids
+
+    def _arrived(self, ask: Ask, events: list[Event]) -> None:
+        query = _Query(self._next_id(), ask, self.now, self.now + max(ask.time_left, 0), [])
+        self.queries[query.id] = self._by_handle[ask.handle] = query
+        heapq.heappush(self._ends, (query.deadline, query.id))
+        events.append(
+            Query(
+                query.id, query.id, len(ask.parts), ask.kind, ask.tenant,
+                max(ask.time_left, 0), ask.key, 0, ask.repeat,
+            )
+        )  # fmt: skip
+        events.extend(self._add_parts(query, ask.parts))
+
+    def _add_parts(self, query: _Query, asks: Iterable[PartAsk]) -> list[Event]:
+        events: list[Event] = []
+        for ask in asks:
+            part = _Part(self._next_id(), query, ask, query.step)
+            self.parts[part.id] = part
+            query.parts.append(part)
+            key = query.ask.key and (query.ask.key * 1_000_003 + ask.shard) % (1 << 64)
+            events.append(Part(part.id, query.id, ask.weight, ask.shard, key, 0))
+        return events
+
+    def _ended(self, item: Ended, events: list[Event]) -> None:
+        part = self.parts.get(item.part)
+        if part is None or item.attempt >= len(part.attempts) or part.attempts[item.attempt].ended:
+            self._breach("ending_unknown", f"part {item.part} attempt {item.attempt}: {item.result.name}")
+            return
+        attempt = part.attempts[item.attempt]
+        attempt.ended = True
+        query = part.query
+        if item.result is Result.OK and not part.ok and not query.over:
+            part.ok, part.body = True, item.body  # a second copy's answer never replaces the first
+        final = item.result is Result.OK or query.over or self.now >= query.deadline
+        elapsed = self.now - attempt.sent
+        events.append(Outcome(part.id, item.attempt, attempt.node, item.result, elapsed, final, ()))
+        if query.over and not part.out():
+            self.parts.pop(part.id, None)
+
+    def _listed(self, members: Members) -> None:
+        if members.scope is Scope.FAILED:
+            return
+        if members.scope is not Scope.DELTA:
+            named = {entry.node for entry in members.entries}
+            for node, known in self._nodes.items():
+                if node not in named and known.phase is not Phase.GONE:
+                    known.phase, known.told = Phase.GONE, self.now
+        for entry in members.entries:
+            known = self._nodes.setdefault(entry.node, _Listed(entry.cell, Phase.READY, 0))
+            if entry.phase is not Phase.READY and known.phase is Phase.READY:
+                known.told = self.now
+            known.cell, known.phase = entry.cell, entry.phase
+
+    # --- actions to orders ---
+
+    def _apply(self, action: Action) -> None:
+        match action:
+            case Send():
+                self._send(action)
+            case SetTimer(at, token):
+                self._timer_count += 1
+                heapq.heappush(self._timers, (at, self._timer_count, token))
+            case Cancel(part_id, attempt):
+                self._cancel(part_id, attempt)
+            case Answer(qid, full):
+                self._answer(qid, full)
+            case Refuse(qid, retry_in):
+                query = self._owed(qid, "refuse")
+                if query is not None:
+                    self._finish(query, Verdict.REFUSED, retry_in, self._why_unanswered(query))
+            case Fail(qid):
+                query = self._owed(qid, "fail")
+                if query is not None:
+                    self._finish(query, Verdict.FAILED, 0, self._why_unanswered(query))
+            case Log(text):
+                self._orders.append(Told(text))
+            case Watch() | Fetch():
+                self._orders.append(ReadList())
+            case Probe(node):
+                self._breach("probe_unsupported", node.hex())
+
+    def _why_unanswered(self, query: _Query) -> str:
+        if self.now >= query.deadline - 3 * self.settings.tick:
+            return "time is up"
+        if not query.sent:
+            return "not expected to finish in time"
+        return "needed parts cannot be had"
+
+    def _send(self, action: Send) -> None:
+        part = self.parts.get(action.part)
+        if part is None:
+            self._breach("send_unknown_part", f"part {action.part}")
+            return
+        number = len(part.attempts)
+        part.attempts.append(_Attempt(action.node, self.now))
+        why = self._wrong_send(part, action, number)
+        if why:
+            self._breach(why, f"part {action.part} attempt {number} to {action.node.hex()}")
+            part.attempts[number].ended = True
+            self._carried.append(Outcome(part.id, number, action.node, Result.MOOT, 0, part.query.over, ()))
+            return
+        query = part.query
+        query.sent += 1
+        query.sent_at = self.now
+        wait = action.timeout or query.deadline - self.now
+        deadline = min(self.now + max(wait, 0), query.deadline)
+        order = AttemptOrder(
+            part.id, number, part.ask.shard, part.step, deadline, part.ask.payload, query.ask.name
+        )
+        calls = self._calls.setdefault(action.node, [])
+        if not calls or len(calls[-1]) >= self.settings.limits.batch:
+            calls.append([])
+        calls[-1].append(order)
+
+    def _wrong_send(self, part: _Part, action: Send, number: int) -> str:
+        """The name of the rule that this send would break; empty where it breaks none."""
+        limits = self.settings.limits
+        listed = self._nodes.get(action.node)
+        if part.query.over:
+            return "send_after_end"
+        if part.ok:
+            return "send_of_part_in"
+        if number >= limits.attempts:
+            return "send_beyond_attempts"
+        if not limits.duplicate and any(not a.ended for a in part.attempts[:number]):
+            return "send_second_copy"
+        if listed is None:
+            return "send_to_unlisted"
+        distance = (listed.cell - part.ask.shard) % self.settings.cells
+        if distance >= self.settings.reach:
+            return "send_to_wrong_holder"
+        if listed.phase is not Phase.READY and self.now > listed.told + self.grace:
+            return "send_past_grace"
+        return ""
+
+    def _cancel(self, part_id: int, attempt: int) -> None:
+        part = self.parts.get(part_id)
+        if part is None or attempt >= len(part.attempts):
+            self._breach("cancel_unknown", f"part {part_id} attempt {attempt}")
+        elif not part.attempts[attempt].ended:
+            self._orders.append(StopAttempt(part_id, attempt))
+
+    def _owed(self, qid: int, what: str) -> _Query | None:
+        query = self.queries.get(qid)
+        if query is None:
+            self._breach("second_final_answer", f"{what} for query {qid}, which is over or unknown")
+        return query
+
+    def _answer(self, qid: int, full: bool) -> None:
+        query = self._owed(qid, "answer")
+        if query is None:
+            return
+        spec = self.settings.classes[query.ask.kind]
+        share = query.share_in(query.step)
+        lenient = spec.floor < spec.need
+        need = spec.need if query.step == 1 else 1.0
+        floor = spec.floor if query.step == 1 or lenient else 1.0
+        if share < floor - TOLERANCE:
+            self._breach("answer_below_floor", f"query {qid}: {share:.3f} of {floor:.3f}")
+            self._finish(query, Verdict.FAILED, 0, "too few parts are in")
+            self._carried.append(Left(qid))
+            return
+        if full and share < need - TOLERANCE:
+            self._breach("answer_not_whole", f"query {qid}: {share:.3f} of {need:.3f} called whole")
+            full = False
+        query.whole = query.whole and full
+        if query.step == 1 and spec.second_step:
+            bodies = {part.ask.shard: part.body for part in query.parts if part.ok}
+            follow = query.ask.follow(bodies) if query.ask.follow else ()
+            if follow:
+                query.step = 2
+                self._carried.extend(self._add_parts(query, follow))
+                return
+            self._carried.append(Left(qid))  # the module waits for a step that this query does not have
+        self._finish(query, Verdict.ANSWERED, 0, "")
+
+    def _finish(self, query: _Query, verdict: Verdict, retry_in: int, cause: str) -> None:
+        answered = verdict is Verdict.ANSWERED
+        parts = [part for part in query.parts if part.ok]
+        self._orders.append(
+            Finish(
+                handle=query.ask.handle,
+                verdict=verdict,
+                whole=answered and query.whole,
+                parts_in=len(parts),
+                parts_asked=len(query.parts),
+                bodies=tuple((p.step, p.ask.shard, p.body) for p in parts) if answered else (),
+                retry_in=retry_in,
+                cause=cause,
+                attempts=query.sent,
+                took=self.now - query.began,
+            )
+        )
+        self._close(query)
+
+    def _close(self, query: _Query) -> None:
+        """The query is over. Attempts still out keep their parts known until their endings have come."""
+        query.over = True
+        del self.queries[query.id]
+        del self._by_handle[query.ask.handle]
+        for part in query.parts:
+            part.body = None
+            if not part.out():
+                self.parts.pop(part.id, None)
+        if query.sent_at != self.now:
+            return
+        # Sends of this very batch for a query that ended later in it must not leave.
+        for node, calls in list(self._calls.items()):
+            kept = [[order for order in call if not self._is_over(order)] for call in calls]
+            self._calls[node] = [call for call in kept if call]
+
+    def _is_over(self, order: AttemptOrder) -> bool:
+        part = self.parts.get(order.part)
+        if part is None or not part.query.over:
+            return part is None
+        attempt = part.attempts[order.attempt]
+        if not attempt.ended:
+            attempt.ended = True
+            self._carried.append(Outcome(part.id, order.attempt, attempt.node, Result.MOOT, 0, True, ()))
+            if not part.out():
+                self.parts.pop(part.id, None)
+        return True
+
+    def _end_overdue(self) -> None:
+        """Guards rule 1 against a module that forgets: a query past its time is failed here, and told."""
+        while self._ends and self._ends[0][0] <= self.now:
+            query = self.queries.get(heapq.heappop(self._ends)[1])
+            if query is not None:
+                self._breach("query_overdue", f"query {query.id} had no answer at its deadline")
+                self._finish(query, Verdict.FAILED, 0, "time is up")
+                self._carried.append(Left(query.id))
+
+    def _breach(self, name: str, detail: str) -> None:
+        self.breaches[name] += 1
+        self._orders.append(Breach(name, detail))
--- /dev/null
+++ b/quincepath/broker/service.py
@@ -0,0 +1,299 @@
+"""The running broker: fronts and upstream on one loop, around the driver. It decides nothing.
+
+In each turn everything that came in is kept in ``inbox``; at the turn's end the driver gets it as one batch
+and its orders are carried out. What ends at once meanwhile (a dial that is refused on the spot) is the next
+batch, in the next turn.
+"""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from quincepath.broker.asks import (
+    Arrived,
+    Breach,
+    ClientLeft,
+    Ended,
+    Finish,
+    Input,
+    Listed,
+    ReadList,
+    StartCall,
+    StopAttempt,
+    Told,
+    Verdict,
+)
+from quincepath.broker.driver import Driver, Module
+from quincepath.config.schema import Config, module_settings
+from quincepath.fronts.remote_read.front import RemoteReadFront, Reply, name_of
+from quincepath.fronts.remote_read.plan import Plan
+from quincepath.interface import Members, NodeId, Settings
+from quincepath.membership.source import ListSource
+from quincepath.net.http1 import Limits
+from quincepath.net.loop import Loop, Timer
+from quincepath.net.server import Exchange, HttpServer, Times
+from quincepath.observe.logs import logger
+from quincepath.observe.metrics import Metrics
+from quincepath.policy import Aggregator
+from quincepath.shards.shardmap import ShardMap
+from quincepath.upstream.pool import PoolLimits, Upstream
+from quincepath.upstream.remote_read import RemoteReadCalls
+
+MakeModule = Callable[[Settings, int], Module]
+DOOR_RETRY = 1_000_000_000  # ns of advice to a query turned away at the door
+METRICS_TIMES = Times(idle=30_000_000_000, request=5_000_000_000, write=5_000_000_000)
+
+
+@dataclass(slots=True)
+class _Open:
+    exchange: Exchange
+    plan: Plan
+    name: str
+    kind: str
+
+
+class Broker:
+    """One broker on a loop. ``make_module`` exists for baselines in tests and benchmarks."""
+
+    def __init__(
+        self, config: Config, loop: Loop, base: Path = Path(), make_module: MakeModule = Aggregator
+    ) -> None:
+        self.config, self.loop = config, loop
+        self.log = logger(broker=config.broker.number)
+        self.metrics = Metrics()
+        shards = config.shards
+        self.map = ShardMap(
+            shards.label,
+            [(entry.name, entry.set or entry.name, entry.values) for entry in shards.map],
+            shards.unlabelled == "everywhere",
+        )
+        self.source = ListSource(config, self.map, base)
+        settings = module_settings(config)
+        module = make_module(settings, config.broker.seed or time.time_ns())
+        self.driver = Driver(module, settings, config.rules.drain_grace)
+        self.front = RemoteReadFront(config, self.map)
+        self.upstream = Upstream(
+            loop,
+            RemoteReadCalls(config.limits.max_answer),
+            PoolLimits(
+                config.limits.connect_timeout,
+                config.limits.idle_close,
+                config.limits.connections_per_holder,
+                config.limits.max_answer,
+            ),
+            self._path,
+            self._ended,
+        )
+        self.inbox: list[Input] = []
+        self.open: dict[int, _Open] = {}
+        self.stopping = False
+        self.on_stopped: Callable[[], None] | None = None
+        self._handles = 0
+        self._due: Timer | None = None
+        self._due_at = 0
+        listen = config.listen
+        self.server = HttpServer(
+            loop, listen.host, listen.port, self._request,
+            Limits(listen.max_headers, listen.max_body),
+            Times(listen.idle_timeout, listen.request_timeout, listen.write_timeout),
+            listen.max_connections,
+            lambda why: self.log.warning("accept rests", cause=why),
+        )  # fmt: skip
+        self.metrics_server = HttpServer(
+            loop, config.metrics.host, config.metrics.port, self._metrics_request,
+            Limits(body=1024), METRICS_TIMES, 64,
+        )  # fmt: skip
+        loop.turn_hooks.append(self._turn)
+        self.read_list(force=True)
+        self._poll()
+
+    @property
+    def url(self) -> str:
+        """Where remote read is served."""
+        return f"http://{self.config.listen.host}:{self.server.port}{self.config.listen.path}"
+
+    @property
+    def metrics_url(self) -> str:
+        """Where metrics are served."""
+        return f"http://{self.config.metrics.host}:{self.metrics_server.port}/metrics"
+
+    # --- clients ---
+
+    def _request(self, exchange: Exchange) -> None:
+        self._handles += 1
+        handle = self._handles
+        name = name_of(exchange.request, handle)
+        if self.stopping:
+            self._turn_away(exchange, "stopping", name)
+            return
+        found = self.front.read(exchange.request, handle, name)
+        if isinstance(found, Reply):
+            if found.verdict is None:
+                self.metrics.bad.labels(str(found.status)).inc()
+                self.log.info(
+                    "bad request", query=name, status=found.status, cause=found.body.decode().strip()
+                )
+            exchange.respond(found.status, found.headers, found.body)
+            return
+        ask, plan = found
+        if self.driver.open_work() + 1 + len(ask.parts) > self.config.limits.max_open:
+            self._turn_away(exchange, "too much open", name)
+            return
+        self.open[handle] = _Open(exchange, plan, name, self.config.classes[plan.kind].name)
+        exchange.on_left = lambda: self._left(handle)
+        self.inbox.append(Arrived(ask))
+
+    def _turn_away(self, exchange: Exchange, why: str, name: str) -> None:
+        self.metrics.turn_away.labels(why).inc()
+        self.log.info("turned away", query=name, cause=why)
+        reply = self.front.refusal(f"refused: {why}; asking again is harmless", DOOR_RETRY)
+        exchange.respond(reply.status, reply.headers, reply.body)
+
+    def _left(self, handle: int) -> None:
+        held = self.open.pop(handle, None)
+        if held is not None:
+            self.inbox.append(ClientLeft(handle))
+            self.metrics.answers.labels(held.kind, "left").inc()
+            self.log.info("client left", query=held.name, **{"class": held.kind})
+
+    def _metrics_request(self, exchange: Exchange) -> None:
+        if exchange.request.path != "/metrics":
+            exchange.text(404, "not found; metrics are at /metrics")
+            return
+        metrics = self.metrics
+        metrics.open_queries.set(len(self.driver.queries))
+        metrics.open_parts.set(len(self.driver.parts))
+        metrics.connections.labels("clients").set(len(self.server.peers))
+        metrics.connections.labels("holders").set(self.upstream.counts.open)
+        for phase in ("READY", "DRAINING", "GONE"):
+            count = sum(fact.phase.name == phase for fact in self.source.state.facts.values())
+            metrics.holders.labels(phase.lower()).set(count)
+        exchange.respond(200, {"Content-Type": "text/plain; version=0.0.4; charset=utf-8"}, metrics.page())
+
+    # --- the list of holders ---
+
+    def _path(self, node: NodeId) -> str | None:
+        fact = self.source.state.address(node)
+        return None if fact is None else fact.path
+
+    def read_list(self, force: bool = False) -> None:
+        """Look for news of the holders now; ``force`` reads the file even if it looks unchanged."""
+        news, changes, error = self.source.poll(force)
+        if error:
+            self.metrics.list_errors.inc()
+            self.log.error("list unreadable, the one before stays in force", cause=error)
+        for change in changes:
+            self.log.info("holder changed", node=change.name, change=change.what)
+        if news is not None:
+            self._told(news)
+
+    def _told(self, news: Members) -> None:
+        self.inbox.append(Listed(news))
+        for entry in news.entries:
+            if entry.phase.name != "READY":
+                self.upstream.close_node(entry.node)
+
+    def _poll(self) -> None:
+        self.loop.call_in(self.config.roster_poll, self._poll)
+        self.read_list()
+
+    # --- the driver ---
+
+    def _ended(self, ended: Ended) -> None:
+        self.inbox.append(ended)
+
+    def _turn(self) -> None:
+        """The turn hook: one batch to the driver, its orders to the edge."""
+        due = self.driver.next_due()
+        if self.inbox or (due is not None and due <= self.loop.now):
+            began = time.monotonic_ns()
+            inbox, self.inbox = self.inbox, []
+            for item in inbox:
+                if isinstance(item, Ended):
+                    self._count_attempt(item)
+            for order in self.driver.step(self.loop.now, inbox):
+                self._carry_out(order)
+            self.metrics.lag.observe((time.monotonic_ns() - began) / 1e9)
+            due = self.driver.next_due()
+        if self.inbox:
+            due = self.loop.now
+        if due is not None and (self._due is None or self._due.call is None or due < self._due_at):
+            if self._due is not None:
+                self._due.cancel()
+            self._due_at = due
+            self._due = self.loop.call_at(due, lambda: None)  # ends the wait; the hook does the rest
+        if self.stopping and not self.open and not self.server.peers and self.on_stopped is not None:
+            done, self.on_stopped = self.on_stopped, None
+            done()
+
+    def _count_attempt(self, item: Ended) -> None:
+        part = self.driver.parts.get(item.part)
+        if part is None:
+            return
+        fact = self.source.state.address(part.attempts[item.attempt].node)
+        name = fact.name if fact else "unlisted"
+        self.metrics.attempts.labels(name, item.result.name.lower()).inc()
+        if item.cause and item.result.name not in ("CANCELLED",):
+            self.log.debug(
+                "attempt ended badly", query=part.query.ask.name, part=part.ask.shard, attempt=item.attempt,
+                node=name, outcome=item.result.name, cause=item.cause,
+            )  # fmt: skip
+
+    def _carry_out(self, order: Any) -> None:
+        match order:
+            case StartCall():
+                self.upstream.start(order)
+            case StopAttempt(part, attempt):
+                self.upstream.stop(part, attempt)
+            case Finish():
+                self._finish(order)
+            case Told(text):
+                self.log.warning("module", text=text)
+            case Breach(name, detail):
+                self.metrics.breaches.labels(name).inc()
+                self.log.error("contract broken, made harmless", name=name, detail=detail)
+            case ReadList():
+                self.read_list(force=True)
+
+    def _finish(self, finish: Finish) -> None:
+        held = self.open.pop(finish.handle, None)
+        if held is None:
+            return
+        reply = self.front.write(finish, held.plan)
+        held.exchange.on_left = None
+        held.exchange.respond(reply.status, reply.headers, reply.body)
+        answer = reply.verdict.value if reply.verdict else "failed"
+        if reply.verdict is Verdict.ANSWERED:
+            answer = "whole" if finish.whole else "partial"
+        self.metrics.answers.labels(held.kind, answer).inc()
+        self.metrics.seconds.labels(held.kind).observe(finish.took / 1e9)
+        if reply.stats is not None:
+            self.metrics.duplicates.inc(reply.stats.duplicates)
+            self.metrics.conflicts.inc(reply.stats.conflicts)
+        self.log.info(
+            "final answer", query=held.name, answer=answer, parts=f"{finish.parts_in}/{finish.parts_asked}",
+            attempts=finish.attempts, ms=round(finish.took / 1e6, 1), cause=finish.cause, status=reply.status,
+            **{"class": held.kind},
+        )  # fmt: skip
+
+    # --- stopping ---
+
+    def stop(self, on_stopped: Callable[[], None]) -> None:
+        """Take no more queries; each open one gets its answer in its time. ``on_stopped`` is called then."""
+        if self.stopping:
+            return
+        self.log.info("stopping", open=len(self.open))
+        self.stopping = True
+        self.on_stopped = on_stopped
+        self.server.drain()
+        self.loop.call_at(self.loop.now, lambda: None)
+
+    def close(self) -> None:
+        """Give back all sockets."""
+        if self._turn in self.loop.turn_hooks:
+            self.loop.turn_hooks.remove(self._turn)
+        self.server.close()
+        self.metrics_server.close()
+        self.upstream.close()
--- /dev/null
+++ b/quincepath/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/quincepath/cli/main.py
@@ -0,0 +1,271 @@
+"""``quincepath``: run a broker, look at it, rehearse with it. Exit status 2 is for bad input."""
+
+import http.client
+import json
+import signal
+import sys
+import time
+from pathlib import Path
+from typing import Any
+from urllib.parse import urlsplit
+
+import click
+from rich.console import Console
+from rich.table import Table
+
+from quincepath.broker.service import Broker
+from quincepath.config.load import ConfigError, load
+from quincepath.config.schema import Config, Roster, check_holders, plain
+from quincepath.fronts.remote_read.codec import HEADERS, VERSION_HEADER, CodecError, decode_response, encode
+from quincepath.fronts.remote_read.remote_pb2 import LabelMatcher, ReadRequest, ReadResponse
+from quincepath.lab.audit import audit as run_audit
+from quincepath.lab.day import DayScript, run_day
+from quincepath.lab.demo import demo_config, make_cluster
+from quincepath.lab.record import Writer
+from quincepath.net.loop import READ, Loop
+from quincepath.observe.logs import setup
+from quincepath.standins.data import LABEL, Store
+from quincepath.standins.leaf import Leaf, Service
+
+BAD_INPUT = 2
+SIGNS = {"=~": LabelMatcher.RE, "!~": LabelMatcher.NRE, "!=": LabelMatcher.NEQ, "=": LabelMatcher.EQ}
+
+
+def _fail(lines: list[str]) -> None:
+    for line in lines:
+        click.echo(line, err=True)
+    sys.exit(BAD_INPUT)
+
+
+def _load(path: Path) -> Config:
+    try:
+        return load(path, Config)
+    except ConfigError as error:
+        _fail(error.lines)
+        raise AssertionError from None
+
+
+@click.group()
+@click.option("--log-format", type=click.Choice(["json", "console"]), default="json")
+@click.option("--log-level", type=click.Choice(["debug", "info", "warning", "error"]), default="warning")
+def main(log_format: Any, log_level: str) -> None:
+    """A query aggregator: spreads queries over shards, merges, and gives one honest answer."""
+    setup(log_format, log_level)
+
+
+def _run(loop: Loop, broker: Broker) -> None:
+    """Until SIGINT or SIGTERM, then until each open query has its answer."""
+    stop = {name: lambda: broker.stop(loop.stop) for name in (signal.SIGINT, signal.SIGTERM)}
+    loop.on_signals({**stop, signal.SIGHUP: lambda: broker.read_list(force=True)})
+    loop.run()
+    broker.close()
+    loop.close()
+
+
+@main.command()
+@click.option("-c", "--config", "path", type=click.Path(path_type=Path), required=True)
+def serve(path: Path) -> None:
+    """Run one broker. SIGTERM: no new queries, each open one gets its answer. SIGHUP: read the roster."""
+    config = _load(path)
+    loop = Loop()
+    try:
+        broker = Broker(config, loop, path.parent)
+    except OSError as error:
+        _fail([f"{path}: cannot listen: {error}"])
+    click.echo(json.dumps({"remote_read": broker.url, "metrics": broker.metrics_url}))
+    sys.stdout.flush()
+    _run(loop, broker)
+
+
+@main.command()
+@click.argument("files", nargs=-1, type=click.Path(path_type=Path), required=True)
+@click.option("--show", is_flag=True, help="Print the checked configuration with its defaults, times in ns.")
+def check(files: tuple[Path, ...], show: bool) -> None:
+    """Check configuration files; every error at once, exit status 2 if there is one."""
+    lines: list[str] = []
+    for path in files:
+        try:
+            config = load(path, Config)
+            if config.roster:
+                roster = load(path.parent / config.roster, Roster)
+                try:
+                    check_holders(config.shards, roster.holders)
+                except ValueError as error:
+                    lines.append(f"{path.parent / config.roster}:1: {error}")
+            if show:
+                click.echo(json.dumps(plain(config), indent=2))
+        except ConfigError as error:
+            lines.extend(error.lines)
+    if lines:
+        _fail(lines)
+    click.echo(f"{len(files)} sound")
+
+
+@main.command()
+@click.option("--name", default="leaf")
+@click.option("--port", default=0)
+@click.option("--districts", required=True, help="Comma-separated.")
+@click.option("--seed", default=1)
+@click.option("--tractors", default=4, help="In each district.")
+@click.option("--work-ms", default=4.0, help="Service time of a part when warm.")
+@click.option("--cores", default=2)
+@click.option("--cold", default=1.0, help="Share of its capacity at the start; 1 is warm.")
+@click.option("--ramp-s", default=10.0)
+@click.option("--record", type=click.Path(path_type=Path))
+@click.option("--guarded", is_flag=True, help="End when standard input closes: no child outlives its parent.")
+def leaf(
+    name: str, port: int, districts: str, seed: int, tractors: int, work_ms: float, cores: int, cold: float,
+    ramp_s: float, record: Path | None, guarded: bool,
+) -> None:  # fmt: skip
+    """Run a stand-in holder with seeded data."""
+    loop = Loop()
+    store = Store(seed, districts.split(","), tractors)
+    service = Service(int(work_ms * 1e6), cores, 64, cold, int(ramp_s * 1e9))
+    holder = Leaf(loop, name, store, service, Writer(record, name) if record else None, port)
+    click.echo(json.dumps({"name": name, "port": holder.port, "url": holder.url}))
+    sys.stdout.flush()
+    loop.on_signals({signal.SIGINT: loop.stop, signal.SIGTERM: loop.stop})
+    if guarded:
+        loop.watch(sys.stdin, READ, lambda _: loop.stop())  # type: ignore[arg-type]
+    loop.run()
+    holder.close()
+
+
+@main.command()
+@click.option("--seed", default=1, help="Of the data.")
+@click.option("--port", default=0, help="Of the remote read front; 0 takes a free one.")
+def demo(seed: int, port: int) -> None:
+    """One broker and six holders on loopback; prints one line of JSON when ready."""
+    cluster = make_cluster(seed, [], None)
+    try:
+        cluster.start()
+        config = Config.model_validate(demo_config(port, holders=cluster.entries(set())))
+        loop = Loop()
+        broker = Broker(config, loop)
+        ready = {
+            "remote_read": broker.url,
+            "metrics": broker.metrics_url,
+            "holders": [
+                {"name": h.name, "url": h.url, "shards": h.shards, "zone": h.zone} for h in cluster.holders
+            ],
+            "shard_label": LABEL,
+            "classes": [entry.name for entry in config.classes],
+        }
+        click.echo(json.dumps(ready))
+        sys.stdout.flush()
+        _run(loop, broker)
+    except OSError as error:
+        _fail([f"cannot listen on port {port}: {error}"])
+    finally:
+        cluster.stop()
+
+
+def parse_matcher(text: str) -> LabelMatcher:
+    """``district=~"north.*"`` with or without quotes. Raises ``click.BadParameter``."""
+    for at in range(len(text)):
+        for sign, kind in SIGNS.items():
+            if text.startswith(sign, at) and at:
+                value = text[at + len(sign) :]
+                if len(value) > 1 and value[0] == value[-1] == '"':
+                    value = value[1:-1]
+                return LabelMatcher(type=kind, name=text[:at], value=value)
+    raise click.BadParameter(f"{text!r}: expected LABEL=VALUE, LABEL!=VALUE, LABEL=~EXPR or LABEL!~EXPR")
+
+
+def fetch(url: str, request: ReadRequest, timeout: float) -> tuple[int, dict[str, str], ReadResponse | str]:
+    """One remote read over HTTP: status, headers (lower case), the answer or the text of a refusal."""
+    parts = urlsplit(url)
+    line = http.client.HTTPConnection(parts.hostname or "127.0.0.1", parts.port, timeout=timeout)
+    try:
+        line.request("POST", parts.path or "/", encode(request), {**HEADERS, **VERSION_HEADER})
+        response = line.getresponse()
+        body = response.read()
+        headers = {name.lower(): value for name, value in response.getheaders()}
+        if response.status != 200:
+            return response.status, headers, body.decode("utf-8", "replace").strip()
+        return response.status, headers, decode_response(body, 1 << 30)
+    finally:
+        line.close()
+
+
+@main.command()
+@click.argument("url")
+@click.argument("matchers", nargs=-1, required=True)
+@click.option("--start", type=int, help="Milliseconds since the epoch.")
+@click.option("--end", type=int, help="Milliseconds since the epoch; now if left out.")
+@click.option("--json", "as_json", is_flag=True)
+@click.option("--timeout", default=30.0, help="Seconds.")
+def query(
+    url: str, matchers: tuple[str, ...], start: int | None, end: int | None, as_json: bool, timeout: float
+) -> None:
+    """Read series through a broker (or straight from a holder). Exit status 1 without an answer.
+
+    MATCHERS are like __name__=engine_hours district=~"north.*".
+    """
+    request = ReadRequest()
+    until = end if end is not None else int(time.time() * 1000)
+    one = request.queries.add(start_timestamp_ms=0 if start is None else start, end_timestamp_ms=until)
+    one.matchers.extend(parse_matcher(text) for text in matchers)
+    try:
+        status, headers, answer = fetch(url, request, timeout)
+    except (OSError, http.client.HTTPException, CodecError) as error:
+        click.echo(f"{url}: no answer: {error}", err=True)
+        sys.exit(1)
+    if isinstance(answer, str):
+        wait = headers.get("retry-after")
+        click.echo(f"status {status}: {answer}" + (f" (retry after {wait} s)" if wait else ""), err=True)
+        sys.exit(1)
+    mark = f"{headers.get('quincepath-answer', 'unmarked')}, parts {headers.get('quincepath-parts', '?')}"
+    series = answer.results[0].timeseries if answer.results else []
+    if as_json:
+        found = [
+            {
+                "labels": {la.name: la.value for la in s.labels},
+                "samples": [[p.timestamp, p.value] for p in s.samples],
+            }
+            for s in series
+        ]
+        click.echo(json.dumps({"answer": headers.get("quincepath-answer"), "parts": mark, "series": found}))
+        return
+    table = Table(title=mark)
+    for column in ("series", "samples", "first", "last", "last value"):
+        table.add_column(column, overflow="fold")
+    for s in series:
+        name = ", ".join(f"{la.name}={la.value}" for la in s.labels)
+        first, last = (s.samples[0].timestamp, s.samples[-1]) if s.samples else (0, None)
+        table.add_row(
+            name, str(len(s.samples)), str(first), str(last.timestamp if last else 0),
+            f"{last.value:.3f}" if last else "",
+        )  # fmt: skip
+    Console(width=max(Console().width, 120)).print(table)
+
+
+@main.command()
+@click.argument("record", type=click.Path(path_type=Path, exists=True))
+def audit(record: Path) -> None:
+    """Check the six rules from the records in a folder (or one file). Exit status 1 if one is broken."""
+    paths = sorted(record.glob("*.jsonl")) if record.is_dir() else [record]
+    report = run_audit(paths)
+    for finding in report.findings[:20]:
+        click.echo(str(finding))
+    said = ", ".join(f"{count} {kind}" for kind, count in report.ended.items())
+    click.echo(f"{report.queries} queries ({said}), {report.parts_got} parts seen at holders")
+    click.echo(f"{len(report.findings)} findings" if report.findings else "no rule broken")
+    sys.exit(1 if report.findings else 0)
+
+
+@main.command()
+@click.argument("script", type=click.Path(path_type=Path))
+@click.option("--record", type=click.Path(path_type=Path), help="Folder to keep records in; new or empty.")
+@click.option("--seed", type=int, help="Instead of the script's.")
+def day(script: Path, record: Path | None, seed: int | None) -> None:
+    """Run a scripted day over loopback and audit it. Exit status 1 if a rule broke."""
+    try:
+        plan = load(script, DayScript)
+    except ConfigError as error:
+        _fail(error.lines)
+    result = run_day(plan, record, seed=seed)
+    for finding in result.report.findings[:20]:
+        click.echo(str(finding))
+    click.echo(result.summary())
+    sys.exit(1 if result.report.findings else 0)
--- /dev/null
+++ b/quincepath/config/__init__.py
@@ -0,0 +1,1 @@
+"""YAML configuration with checks that name the place."""
--- /dev/null
+++ b/quincepath/config/schema.py
@@ -0,0 +1,322 @@
+"""The shape of a configuration file, checked by pydantic; times are nanoseconds, sizes bytes."""
+
+import ipaddress
+from typing import Annotated, Any, Literal
+from urllib.parse import urlsplit
+
+import re2
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, model_validator
+
+from quincepath.config.values import Duration, Share, Size
+from quincepath.interface import Effect, Limits, QueryClass, Rules, Settings
+
+MS = 1_000_000
+SECOND = 1000 * MS
+Name = Annotated[str, Field(min_length=1, max_length=200)]
+Port = Annotated[int, Field(ge=0, le=65535, strict=True)]
+Count = Annotated[int, Field(ge=1, strict=True)]
+
+
+def _pattern(value: str) -> str:
+    options = re2.Options()
+    options.log_errors = False
+    try:
+        re2.compile(value, options)
+    except re2.error as error:
+        raise ValueError(f"expected an RE2 expression: {error}") from None
+    return value
+
+
+def _holder_url(value: str) -> str:
+    parts = urlsplit(value)
+    try:
+        port = parts.port
+    except ValueError:
+        port = None
+    if parts.scheme != "http" or not parts.hostname or not port:
+        raise ValueError("expected http://ADDRESS:PORT/PATH")
+    try:
+        ipaddress.IPv4Address(parts.hostname)
+    except ValueError:
+        raise ValueError("expected an IPv4 address in the URL: names are not resolved here") from None
+    return value
+
+
+Pattern = Annotated[str, AfterValidator(_pattern)]
+HolderUrl = Annotated[str, AfterValidator(_holder_url)]
+
+
+class Model(BaseModel):
+    """Unknown keys are refused: a misspelt setting must not silently keep its default."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class Listen(Model):
+    """The remote read front's listener and what one client connection may use."""
+
+    host: Name = "127.0.0.1"
+    port: Port = 0
+    path: str = Field("/api/v1/read", pattern="^/")
+    max_connections: Count = 2000
+    max_headers: Size = 32 * 1024
+    max_body: Size = 4 << 20
+    idle_timeout: Duration = 60 * SECOND
+    request_timeout: Duration = 10 * SECOND  # from a request's first byte to its last
+    write_timeout: Duration = 30 * SECOND  # without the client taking a byte
+
+
+class MetricsListen(Model):
+    """Where the metrics page is served."""
+
+    host: Name = "127.0.0.1"
+    port: Port = 0
+
+
+class ShardEntry(Model):
+    """One shard: the values of the shard label that it holds. Shards of one ``set`` have the same holders."""
+
+    name: Name
+    values: list[Name] = Field(min_length=1)
+    set: Name | None = None
+
+
+class Shards(Model):
+    """How queries are cut. ``unlabelled`` says which shards may hold series without the shard label."""
+
+    label: Name
+    unlabelled: Literal["everywhere", "nowhere"] = "everywhere"
+    map: list[ShardEntry] = Field(min_length=1)
+
+    @model_validator(mode="after")
+    def _distinct(self) -> "Shards":
+        names: set[str] = set()
+        values: dict[str, str] = {}
+        for entry in self.map:
+            if entry.name in names:
+                raise ValueError(f"shard {entry.name!r} stands twice")
+            names.add(entry.name)
+            for value in entry.values:
+                if value in values:
+                    raise ValueError(f"value {value!r} is in shards {values[value]!r} and {entry.name!r}")
+                values[value] = entry.name
+        return self
+
+    def sets(self) -> dict[str, list[str]]:
+        """Names of the shards of each replica set, in the file's order."""
+        found: dict[str, list[str]] = {}
+        for entry in self.map:
+            found.setdefault(entry.set or entry.name, []).append(entry.name)
+        return found
+
+
+class Holder(Model):
+    """One holder, in the configuration or in a roster file. ``started`` is seconds since the epoch."""
+
+    name: Name
+    url: HolderUrl
+    zone: str = ""
+    shards: list[Name] = Field(min_length=1)
+    phase: Literal["ready", "draining", "gone"] = "ready"
+    started: float | None = Field(None, ge=0)
+
+
+class Roster(Model):
+    """A roster file: all holders now. ``version`` should grow with each change."""
+
+    version: int = Field(0, ge=0)
+    holders: list[Holder]
+
+    @model_validator(mode="after")
+    def _distinct(self) -> "Roster":
+        check_distinct(self.holders)
+        return self
+
+
+def check_distinct(holders: list[Holder]) -> None:
+    """Raises ``ValueError`` where two holders share a name or an address."""
+    seen: dict[str, str] = {}
+    for holder in holders:
+        address = urlsplit(holder.url).netloc
+        for what, key in (("name", holder.name), ("address", address)):
+            if f"{what} {key}" in seen:
+                raise ValueError(
+                    f"holders {seen[f'{what} {key}']!r} and {holder.name!r} share the {what} {key}"
+                )
+            seen[f"{what} {key}"] = holder.name
+
+
+class ClassRule(Model):
+    """True of a query that has a matcher of this label and type whose value the expression matches whole."""
+
+    label: Name
+    type: Literal["EQ", "NEQ", "RE", "NRE", "any"] = "EQ"
+    value: Pattern = ".*"
+
+
+class ClassEntry(Model):
+    """One class of query. ``recent`` cuts a longer time range into two steps, the newest part first."""
+
+    name: Name
+    when: list[ClassRule] = []
+    target: Duration
+    deadline: Duration
+    need: Share = 1.0
+    floor: Share | None = None
+    late_worth: Share = 0.3
+    recent: Duration = 0
+
+    @model_validator(mode="after")
+    def _sound(self) -> "ClassEntry":
+        if not 0 < self.target <= self.deadline:
+            raise ValueError("expected 0 < target <= deadline")
+        if not 0 < self.need or (self.floor is not None and not 0 < self.floor <= self.need):
+            raise ValueError("expected 0 < floor <= need <= 1")
+        return self
+
+
+class LimitsEntry(Model):
+    """What a broker may do at most."""
+
+    attempts: int = Field(3, ge=1, le=16)
+    second_copies: bool = True
+    batch: int = Field(1, ge=1, le=64)
+    connect_timeout: Duration = 250 * MS
+    idle_close: Duration = 15 * SECOND
+    connections_per_holder: Count = 32
+    max_retry_after: Duration = 10 * SECOND
+    max_open: Count = 4000  # queries and parts held at once
+    max_answer: Size = 64 << 20  # bytes of one holder's answer, decompressed
+    max_merged: Size = 128 << 20  # bytes of one merged answer, before compression
+    max_queries: int = Field(64, ge=1, le=4096)  # queries in one request
+
+
+class RulesEntry(Model):
+    """The figures of the rules."""
+
+    drain_grace: Duration = 500 * MS
+    cold_share: Share = 0.2
+    ramp_time: Duration = 16 * SECOND
+    fall_multiple: float = Field(2.0, gt=0)
+    overload_for: Duration = 2 * SECOND
+    budget_window: Duration = 0
+    budget_free: float = Field(0.0, ge=0)
+    budget_ratio: float = Field(0.0, ge=0)
+
+
+class BrokerEntry(Model):
+    """This broker among its peers. ``tick`` is the reserve for carrying an answer to its client."""
+
+    number: int = Field(0, ge=0)
+    brokers: Count = 1
+    zone: str = ""
+    seed: int = 0
+    tick: Duration = 5 * MS
+    cross_zone_charge: float = Field(0.0, ge=0)
+    call_work: Duration = 0
+
+    @model_validator(mode="after")
+    def _one_of(self) -> "BrokerEntry":
+        if self.number >= self.brokers:
+            raise ValueError(f"expected number below brokers ({self.brokers})")
+        return self
+
+
+class Config(Model):
+    """A whole configuration file."""
+
+    broker: BrokerEntry = BrokerEntry()
+    listen: Listen = Listen()
+    metrics: MetricsListen = MetricsListen()
+    shards: Shards
+    holders: list[Holder] = []
+    roster: str | None = None
+    roster_poll: Duration = 100 * MS
+    classes: list[ClassEntry] = Field(min_length=1)
+    limits: LimitsEntry = LimitsEntry()
+    rules: RulesEntry = RulesEntry()
+    timeout_header: Name = "X-Quincepath-Timeout"
+    repeat_header: Name = "Retry-Attempt"
+
+    @model_validator(mode="after")
+    def _sound(self) -> "Config":
+        if bool(self.holders) == bool(self.roster):
+            raise ValueError("expected either holders or roster, one of them")
+        names = [entry.name for entry in self.classes]
+        if len(set(names)) < len(names):
+            raise ValueError("two classes share a name")
+        check_distinct(self.holders)
+        check_holders(self.shards, self.holders)
+        return self
+
+
+def check_holders(shards: Shards, holders: list[Holder]) -> None:
+    """Raises ``ValueError`` where a holder's shards are not those of one replica set."""
+    sets = {frozenset(names) for names in shards.sets().values()}
+    for holder in holders:
+        if frozenset(holder.shards) not in sets:
+            wanted = " or ".join("+".join(names) for names in shards.sets().values())
+            raise ValueError(
+                f"holder {holder.name!r} has shards {'+'.join(holder.shards)}; expected a whole set: {wanted}"
+            )
+
+
+def zones(config: Config, more: list[Holder]) -> dict[str, int]:
+    """Positions of zone names: this broker's first, the rest by name."""
+    names = {holder.zone for holder in [*config.holders, *more]} - {config.broker.zone}
+    return {name: at for at, name in enumerate([config.broker.zone, *sorted(names)])}
+
+
+def module_settings(config: Config) -> Settings:
+    """The module's settings. Each replica set is one cell; all classes of remote read are safe to repeat."""
+    broker, limits, rules = config.broker, config.limits, config.rules
+    return Settings(
+        me=broker.number,
+        instances=broker.brokers,
+        zone=0,
+        tick=broker.tick,
+        cells=len(config.shards.sets()),
+        reach=1,
+        must_ask=False,
+        cross_zone_charge=broker.cross_zone_charge,
+        call_work=broker.call_work,
+        classes=tuple(
+            QueryClass(
+                name=entry.name,
+                target=entry.target,
+                deadline=entry.deadline,
+                effect=Effect.SAFE,
+                window=0,
+                late_worth=entry.late_worth,
+                need=entry.need,
+                floor=entry.need if entry.floor is None else entry.floor,
+                second_step=1 if entry.recent else 0,
+            )
+            for entry in config.classes
+        ),
+        limits=Limits(
+            attempts=limits.attempts,
+            cancel=True,
+            duplicate=limits.second_copies,
+            retry_after=True,
+            max_retry_after=limits.max_retry_after,
+            connect_timeout=limits.connect_timeout,
+            idle_close=limits.idle_close,
+            batch=limits.batch,
+        ),
+        rules=Rules(
+            cold_share=rules.cold_share,
+            ramp_time=rules.ramp_time,
+            fall_multiple=rules.fall_multiple,
+            overload_for=rules.overload_for,
+            must_ask_in=0,
+            budget_window=rules.budget_window,
+            budget_free=rules.budget_free,
+            budget_ratio=rules.budget_ratio,
+        ),
+    )
+
+
+def plain(config: Config) -> dict[str, Any]:
+    """The configuration with defaults filled in, for showing; times in nanoseconds."""
+    return config.model_dump()
--- /dev/null
+++ b/quincepath/fronts/remote_read/__init__.py
@@ -0,0 +1,1 @@
+"""Prometheus remote read, SAMPLES: codec, matchers, plans."""
--- /dev/null
+++ b/quincepath/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Rehearsals on one machine: records, audit, load, scripted days."""
--- /dev/null
+++ b/quincepath/lab/audit.py
@@ -0,0 +1,340 @@
+"""Checks the six rules from records of sockets alone; a broker's own word is not asked.
+
+Each finding names the rule, the file and the line at which it showed, and what happened. ``slack`` from the
+record's bounds is allowed for transit, because an event is stamped where it was seen, not where it began.
+"""
+
+from bisect import bisect_left, bisect_right
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Generic, TypeVar
+
+from quincepath.lab.record import (
+    Ask,
+    Bounds,
+    ClassRules,
+    End,
+    Got,
+    Head,
+    Line,
+    Mark,
+    RecordError,
+    Said,
+    Told,
+    Up,
+    read,
+)
+
+TOLERANCE = 1e-4
+UNSEEN = (429,)  # statuses by which a holder says that it did not look at the request
+
+T = TypeVar("T")
+PartKey = tuple[str, int, int]
+
+
+@dataclass(slots=True, frozen=True)
+class Finding:
+    """A broken rule, 1 to 6; 0 is a record that does not hold together."""
+
+    rule: int
+    at: int
+    where: str
+    what: str
+
+    def __str__(self) -> str:
+        return f"rule {self.rule}: {self.where}: {self.what}" if self.rule else f"{self.where}: {self.what}"
+
+
+@dataclass(slots=True)
+class Seen(Generic[T]):
+    """A line with its place."""
+
+    where: str
+    line: T
+
+
+@dataclass(slots=True)
+class Book:
+    """All lines, sorted by what they are; times stand in the lines."""
+
+    bounds: Bounds | None = None
+    classes: dict[str, ClassRules] = field(default_factory=dict)
+    asks: dict[str, Seen[Ask]] = field(default_factory=dict)
+    ends: dict[str, list[Seen[End]]] = field(default_factory=lambda: defaultdict(list))
+    got: list[Seen[Got]] = field(default_factory=list)
+    said: list[Seen[Said]] = field(default_factory=list)
+    ups: list[Seen[Up]] = field(default_factory=list)
+    told: list[Seen[Told]] = field(default_factory=list)
+    findings: list[Finding] = field(default_factory=list)
+
+
+@dataclass(slots=True, frozen=True)
+class Report:
+    """What was found, earliest first, and what was looked at."""
+
+    findings: list[Finding]
+    queries: int
+    ended: dict[str, int]
+    parts_got: int
+
+
+def collect(lines: Iterable[tuple[str, Line]]) -> Book:
+    """Sort lines, given with their places, into a book."""
+    book = Book()
+    for where, line in lines:
+        match line:
+            case Bounds():
+                book.bounds = line
+            case ClassRules():
+                book.classes[line.name] = line
+            case Ask():
+                if line.query in book.asks:
+                    book.findings.append(Finding(0, line.at, where, f"query {line.query} was asked twice"))
+                book.asks[line.query] = Seen(where, line)
+            case End():
+                book.ends[line.query].append(Seen(where, line))
+            case Got():
+                book.got.append(Seen(where, line))
+            case Said():
+                book.said.append(Seen(where, line))
+            case Up():
+                book.ups.append(Seen(where, line))
+            case Told():
+                book.told.append(Seen(where, line))
+            case Head() | Mark():
+                pass
+    book.got.sort(key=lambda seen: seen.line.at)
+    book.told.sort(key=lambda seen: seen.line.at)
+    return book
+
+
+def audit(paths: Iterable[Path]) -> Report:
+    """Read record files and judge them. A line that cannot be read is a finding."""
+    lines: list[tuple[str, Line]] = []
+    broken: list[Finding] = []
+    for path in sorted(paths):
+        try:
+            lines.extend((f"{path.name}:{number}", line) for number, line in read(path))
+        except (RecordError, OSError) as error:
+            broken.append(Finding(0, 0, str(path.name), str(error)))
+    book = collect(lines)
+    book.findings.extend(broken)
+    return judge(book)
+
+
+def judge(book: Book) -> Report:
+    """All six rules."""
+    found = book.findings
+    if book.bounds is None:
+        found.append(Finding(0, 0, "record", "no line states the bounds to check against"))
+        return Report(found, len(book.asks), {}, len(book.got))
+    if not book.asks:
+        found.append(Finding(0, 0, "record", "no query was asked: nothing is shown"))
+    for check in (_final_answers, _effects, _drains, _cold, _honest, _budget):
+        check(book, book.bounds)
+    found.sort(key=lambda finding: finding.at)
+    ended: dict[str, int] = defaultdict(int)
+    for ends in book.ends.values():
+        for seen in ends:
+            ended[_kind_of(seen.line)] += 1
+    return Report(found, len(book.asks), dict(sorted(ended.items())), len(book.got))
+
+
+def _kind_of(end: End) -> str:
+    if end.status == 200:
+        return end.mark or "unmarked"
+    return {503: "refused", 502: "failed", 504: "failed", 0: "lost", -1: "none"}.get(
+        end.status, f"status {end.status}"
+    )
+
+
+def _final_answers(book: Book, bounds: Bounds) -> None:
+    """Rule 1: one final answer in the client's time, and no part after it."""
+    add = book.findings.append
+    ends: dict[str, int] = {}
+    for query, seen in book.asks.items():
+        ask = seen.line
+        answers = book.ends.get(query, [])
+        if not answers:
+            add(Finding(1, ask.at, seen.where, f"query {query} has no end"))
+        for end in answers[:1]:
+            ends[query] = end.line.at
+            if end.line.status <= 0:
+                said = "the connection was lost" if end.line.status == 0 else "the client gave up waiting"
+                add(Finding(1, end.line.at, end.where, f"query {query} has no final answer: {said}"))
+            elif end.line.at > ask.at + ask.patience + bounds.slack:
+                late = (end.line.at - ask.at - ask.patience) / 1e6
+                add(Finding(1, end.line.at, end.where, f"query {query} ended {late:.0f} ms past its time"))
+        for end in answers[1:]:
+            add(Finding(1, end.line.at, end.where, f"query {query} got a second final answer"))
+    for query in book.ends.keys() - book.asks.keys():
+        seen_end = book.ends[query][0]
+        add(Finding(0, seen_end.line.at, seen_end.where, f"query {query} ended but was never asked"))
+    for got in book.got:
+        end_at = ends.get(got.line.query)
+        if end_at is not None and got.line.at > end_at + bounds.slack:
+            late = (got.line.at - end_at) / 1e6
+            what = f"shard {got.line.shard} of query {got.line.query} came {late:.0f} ms after its end"
+            add(Finding(1, got.line.at, got.where, what))
+
+
+def _effects(book: Book, bounds: Bounds) -> None:
+    """Rule 2: no effect twice; refused only if certainly none ran."""
+    unseen = {
+        (s.line.query, s.line.shard, s.line.step, s.line.attempt)
+        for s in book.said
+        if s.line.status in UNSEEN
+    }
+    ran: dict[PartKey, list[Seen[Got]]] = defaultdict(list)
+    for got in book.got:
+        line = got.line
+        ask = book.asks.get(line.query)
+        spec = book.classes.get(ask.line.kind) if ask else None
+        if spec is None or spec.effect == "safe":
+            continue
+        before = ran[line.query, line.shard, line.step]
+        if before and spec.effect == "unsafe":
+            what = f"shard {line.shard} of unsafe query {line.query} was sent again though it may have run"
+            book.findings.append(Finding(2, line.at, got.where, what))
+        elif before and line.at > before[0].line.at + spec.window + bounds.slack:
+            what = f"shard {line.shard} of keyed query {line.query} was sent again past its window"
+            book.findings.append(Finding(2, line.at, got.where, what))
+        if (line.query, line.shard, line.step, line.attempt) not in unseen:
+            before.append(got)
+    for (query, shard, _step), times in ran.items():
+        for end in book.ends.get(query, []):
+            if times and end.line.status == 503:
+                what = f"query {query} was refused though its shard {shard} may have run"
+                book.findings.append(Finding(2, end.line.at, end.where, what))
+
+
+def _drains(book: Book, bounds: Bounds) -> None:
+    """Rule 3: nothing new past the grace after the broker was told."""
+    news: dict[str, list[Seen[Told]]] = defaultdict(list)
+    for seen in book.told:
+        news[seen.line.holder].append(seen)
+    for got in book.got:
+        mine = news.get(got.line.holder, [])
+        before = bisect_right([seen.line.at for seen in mine], got.line.at)
+        if not before or mine[before - 1].line.phase == "ready":
+            continue
+        first = before - 1
+        while first and mine[first - 1].line.phase != "ready":
+            first -= 1
+        late = got.line.at - mine[first].line.at - bounds.notice - bounds.drain_grace
+        if late > bounds.slack:
+            what = (
+                f"query {got.line.query} reached {got.line.holder} {late / 1e6:.0f} ms past the grace "
+                f"after news that it is {mine[first].line.phase}"
+            )
+            book.findings.append(Finding(3, got.line.at, got.where, what))
+
+
+def _cold(book: Book, bounds: Bounds) -> None:
+    """Rule 4: work sent to a holder that came up cold, in any window, against what it could do in it."""
+    by_holder: dict[str, list[Seen[Got]]] = defaultdict(list)
+    for got in book.got:
+        by_holder[got.line.holder].append(got)
+    for seen in book.ups:
+        up = seen.line
+        if up.cold >= 1:
+            continue
+        told = [t.line.at for t in book.told if t.line.holder == up.holder and t.line.phase == "ready"]
+        known = next((at for at in told if at >= up.at), None)
+        if known is None:
+            continue  # no broker was told of this start
+        begin = known + bounds.notice
+        mine = [g for g in by_holder[up.holder] if begin <= g.line.at < up.at + up.ramp]
+        for first, got in enumerate(mine):
+            start = got.line.at
+            within = [g for g in mine[first:] if g.line.at < start + bounds.overload_for]
+            work = sum(g.line.work for g in within)
+            able = _capacity(up, start, start + bounds.overload_for)
+            most = bounds.fall_multiple * able + got.line.work
+            if work > most:
+                what = f"{up.holder}, cold, was sent {work / most:.2f} times the most of a window"
+                book.findings.append(Finding(4, start, got.where, what))
+                break
+
+
+def _capacity(up: Up, start: int, end: int) -> float:
+    """Work (ns) that a warming holder can do in a window, by its own ramp."""
+
+    def warm(at: int) -> float:
+        return min(1.0, up.cold + (1 - up.cold) * (at - up.at) / up.ramp)
+
+    return up.capacity * (warm(start) + warm(end)) / 2 * (end - start) / 1e9
+
+
+def _honest(book: Book, bounds: Bounds) -> None:
+    """Rule 5: never under the floor, whole only if whole, a part counted once."""
+    good: dict[str, dict[tuple[int, int], int]] = defaultdict(dict)
+    for seen in book.said:
+        if seen.line.good:
+            key = seen.line.step, seen.line.shard
+            known = good[seen.line.query].get(key, seen.line.at)
+            good[seen.line.query][key] = min(known, seen.line.at)
+    for query, ends in book.ends.items():
+        ask = book.asks.get(query)
+        if ask is None:
+            continue
+        spec = book.classes.get(ask.line.kind)
+        for end in ends:
+            if end.line.status != 200:
+                continue
+            if spec is None:
+                what = f"query {query} is of class {ask.line.kind!r}, of which the record says nothing"
+                book.findings.append(Finding(0, end.line.at, end.where, what))
+                continue
+            until = end.line.at + bounds.slack
+            there = {key for key, at in good.get(query, {}).items() if at <= until}
+            for what in _dishonest(ask.line, end.line, spec, there):
+                book.findings.append(Finding(5, end.line.at, end.where, f"query {query} {what}"))
+
+
+def _dishonest(ask: Ask, end: End, spec: ClassRules, there: set[tuple[int, int]]) -> Iterable[str]:
+    if end.mark not in ("whole", "partial"):
+        yield f"was answered without an honest mark: {end.mark!r}"
+        return
+    if end.parts_in > len(there):
+        yield f"claims {end.parts_in} parts, holders gave {len(there)} good ones"
+    if not ask.shards:
+        return
+    first = len({shard for step, shard in there if step == 1} & set(ask.shards)) / len(ask.shards)
+    if min(first, end.parts_in / max(end.parts_asked, 1)) < spec.floor - TOLERANCE:
+        yield f"was answered from {end.parts_in} of {end.parts_asked} parts, under the floor {spec.floor:.2f}"
+    if end.mark == "whole":
+        if first < spec.need - TOLERANCE or end.parts_in / max(end.parts_asked, 1) < spec.need - TOLERANCE:
+            yield f"is called whole with {end.parts_in} of {end.parts_asked} parts, {spec.need:.2f} is needed"
+
+
+def _budget(book: Book, bounds: Bounds) -> None:
+    """Rule 6: attempts a part, and extra attempts against what was taken."""
+    tries: dict[PartKey, int] = defaultdict(int)
+    extra: list[int] = []
+    taken = sorted(at for seen in book.asks.values() for at in [seen.line.at] * (1 + len(seen.line.shards)))
+    second: set[tuple[str, int]] = set()
+    for got in book.got:
+        line = got.line
+        if line.query not in book.asks:
+            continue
+        key = line.query, line.shard, line.step
+        tries[key] += 1
+        if line.step > 1 and (line.query, line.shard) not in second:
+            second.add((line.query, line.shard))
+            taken.insert(bisect_right(taken, line.at), line.at)
+        if max(tries[key], line.attempt + 1) > bounds.attempts:
+            what = f"shard {line.shard} of query {line.query} was sent more than {bounds.attempts} times"
+            book.findings.append(Finding(6, line.at, got.where, what))
+        if tries[key] == 1 or not bounds.budget_window:
+            continue
+        extra.append(line.at)
+        inside = len(extra) - bisect_left(extra, line.at - bounds.budget_window)
+        since = bisect_left(taken, line.at - bounds.budget_window - bounds.slack)
+        earned = bisect_right(taken, line.at + bounds.slack) - since
+        most = bounds.brokers * bounds.budget_free + bounds.budget_ratio * earned
+        if inside > most:
+            what = f"{inside} extra attempts in a window where {most:.1f} are allowed"
+            book.findings.append(Finding(6, line.at, got.where, what))
--- /dev/null
+++ b/quincepath/lab/demo.py
@@ -0,0 +1,68 @@
+"""The embedded defaults: three replica sets of two shards, two holders each, and two classes of query."""
+
+from pathlib import Path
+from typing import Any
+
+from quincepath.lab.cluster import Cluster, HolderProcess
+
+DISTRICTS = {
+    "s0": ("a", ["north.example.org"]),
+    "s1": ("a", ["ridge.example.org"]),
+    "s2": ("b", ["river.example.org"]),
+    "s3": ("b", ["coast.example.org"]),
+    "s4": ("c", ["valley.example.org"]),
+    "s5": ("c", ["south.example.org"]),
+}
+ZONES = ("upper", "lower")
+
+
+def shards_entry() -> dict[str, Any]:
+    """The shard map as a configuration names it."""
+    return {
+        "label": "district",
+        "unlabelled": "nowhere",
+        "map": [
+            {"name": name, "set": group, "values": values} for name, (group, values) in DISTRICTS.items()
+        ],
+    }
+
+
+def classes_entry() -> list[dict[str, Any]]:
+    """An any-n class and an all-parts class with a second step."""
+    return [
+        {
+            "name": "fleet-glance", "target": "1500ms", "deadline": "3s", "need": "60%", "late_worth": 0.3,
+            "when": [{"label": "__name__", "value": "fuel_use_.*"}],
+        },
+        {"name": "hours-report", "target": "2s", "deadline": "5s", "late_worth": 0.1, "recent": "30m"},
+    ]  # fmt: skip
+
+
+def make_cluster(seed: int, options: list[str], record: Path | None, roster: Path | None = None) -> Cluster:
+    """Six holders; not started."""
+    holders = []
+    for group in sorted({group for group, _ in DISTRICTS.values()}):
+        shards = [name for name, (mine, _) in DISTRICTS.items() if mine == group]
+        districts = [value for name in shards for value in DISTRICTS[name][1]]
+        for number, zone in enumerate(ZONES):
+            name = f"{group}{number}"
+            kept = record / f"holder-{name}.jsonl" if record else None
+            words = ["--seed", str(seed), *options]
+            holders.append(HolderProcess(name, zone, shards, districts, words, kept))
+    return Cluster(holders, roster)
+
+
+def demo_config(port: int, **more: Any) -> dict[str, Any]:
+    """A configuration as plain values, without holders."""
+    return {
+        "broker": {"zone": ZONES[0]},
+        "listen": {"port": port},
+        "shards": shards_entry(),
+        "classes": classes_entry(),
+        "limits": {"batch": 4, "max_retry_after": "2s"},
+        "rules": {
+            "cold_share": 0.2, "ramp_time": "10s", "fall_multiple": 2.0, "overload_for": "2s",
+            "budget_window": "10s", "budget_free": 20, "budget_ratio": 0.2,
+        },
+        **more,
+    }  # fmt: skip
--- /dev/null
+++ b/quincepath/lab/load.py
@@ -0,0 +1,183 @@
+"""A remote read client on the loop: sends queries, keeps what it saw, gives up when its time is up."""
+
+import socket
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from urllib.parse import urlsplit
+
+import numpy as np
+
+from quincepath.fronts.remote_read.codec import HEADERS, VERSION_HEADER, encode
+from quincepath.fronts.remote_read.remote_pb2 import LabelMatcher, ReadRequest
+from quincepath.lab.record import Ask, End, Writer
+from quincepath.net.http1 import HttpError, Limits, Response, ResponseReader, request_bytes
+from quincepath.net.loop import Loop
+from quincepath.net.stream import Stream
+from quincepath.standins.data import BEGIN_MS, END_MS, LABEL, STEP_MS
+
+LIMITS = Limits(body=256 << 20)
+
+
+@dataclass(slots=True, frozen=True)
+class QueryPlan:
+    """A query to send: its class by the rules of the configuration, shards it touches, its body."""
+
+    kind: str
+    shards: list[int]
+    body: bytes
+    request: ReadRequest
+    patience: int  # ns
+
+
+@dataclass(slots=True, frozen=True)
+class Seen:
+    """What came of one query. ``status`` 0: connection lost, -1: gave up."""
+
+    plan: QueryPlan
+    status: int
+    took: int
+    response: Response | None
+
+
+class QuerySource:
+    """Seeded queries: any-n glances over all districts, reports over some. Same seed, same queries."""
+
+    def __init__(self, seed: int, districts: dict[str, int], patience: dict[str, int]) -> None:
+        self.random = np.random.default_rng(seed)
+        self.districts, self.patience = districts, patience
+
+    def next(self) -> QueryPlan:
+        """One query; about six glances to four reports."""
+        request = ReadRequest()
+        query = request.queries.add()
+        names = sorted(self.districts)
+        if self.random.random() < 0.6:
+            kind, metric = "fleet-glance", "fuel_use_liters"
+            chosen = names
+            query.matchers.add(type=LabelMatcher.RE, name=LABEL, value=".+")
+        else:
+            kind, metric = "hours-report", "engine_hours"
+            count = int(self.random.integers(1, min(4, len(names)) + 1))
+            chosen = sorted(str(n) for n in self.random.choice(names, count, replace=False))
+            pattern = "|".join(name.replace(".", r"\.") for name in chosen)
+            query.matchers.add(type=LabelMatcher.RE, name=LABEL, value=pattern)
+        query.matchers.add(type=LabelMatcher.EQ, name="__name__", value=metric)
+        steps = (END_MS - BEGIN_MS) // STEP_MS
+        begin = int(self.random.integers(0, steps // 2))
+        query.start_timestamp_ms = BEGIN_MS + begin * STEP_MS
+        query.end_timestamp_ms = END_MS - int(self.random.integers(0, steps // 4)) * STEP_MS
+        shards = sorted({self.districts[name] for name in chosen})
+        return QueryPlan(kind, shards, encode(request), request, self.patience[kind])
+
+
+@dataclass(slots=True, eq=False)
+class _Line:
+    """One connection to the broker: one query at a time, kept open between."""
+
+    stream: Stream | None = None
+    reader: ResponseReader = field(default_factory=lambda: ResponseReader(LIMITS))
+    done: Callable[[Response | None], None] | None = None
+
+
+class Client:
+    """Sends queries to one remote read address; ``record`` gets each end. Bounded by its caller."""
+
+    def __init__(self, loop: Loop, url: str, record: Writer | None = None) -> None:
+        parts = urlsplit(url)
+        self.loop, self.record = loop, record
+        self.address = (parts.hostname or "127.0.0.1", parts.port or 80)
+        self.path = parts.path
+        self.idle: list[_Line] = []
+        self.open = 0
+
+    def ask(self, name: str, plan: QueryPlan, done: Callable[[Seen], None]) -> None:
+        """Send one query; ``done`` is called once."""
+        self.open += 1
+        began = time.monotonic_ns()
+        if self.record:
+            self.record.write(Ask(began, name, plan.kind, plan.shards, plan.patience))
+        over = False
+
+        def end(status: int, response: Response | None) -> None:
+            nonlocal over
+            if over:
+                if self.record and status > 0:  # a second answer is what the audit is for
+                    self.record.write(End(time.monotonic_ns(), name, status))
+                return
+            over = True
+            timer.cancel()
+            self.open -= 1
+            now = time.monotonic_ns()
+            if self.record:
+                self.record.write(_end_line(now, name, status, response))
+            done(Seen(plan, status, now - began, response))
+
+        def gave_up() -> None:
+            line.done = None
+            if line.stream is not None:
+                line.stream.close()
+            end(-1, None)
+
+        timer = self.loop.call_in(plan.patience + 250_000_000, gave_up)
+        found = self.idle.pop() if self.idle else self._connect()
+        if found is None:
+            end(0, None)
+            return
+        line = found
+        line.done = lambda response: end(response.status if response else 0, response)
+        headers = {**HEADERS, **VERSION_HEADER, "X-Request-Id": name}
+        assert line.stream is not None
+        line.stream.write(request_bytes("POST", self.path, "broker", headers, plan.body))
+
+    def _connect(self) -> _Line | None:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.connect(self.address)  # loopback: at once or refused
+        except OSError:
+            sock.close()
+            return None
+        line = _Line()
+
+        def data(chunk: bytes) -> None:
+            try:
+                response = line.reader.feed(chunk)
+            except HttpError:
+                if line.stream is not None:
+                    line.stream.close()
+                lost("protocol error")
+                return
+            if response is not None and line.done is not None:
+                done, line.done = line.done, None
+                if response.keep_alive:
+                    self.idle.append(line)
+                elif line.stream is not None:
+                    line.stream.close()
+                done(response)
+
+        def lost(_why: str) -> None:
+            if line in self.idle:
+                self.idle.remove(line)
+            done, line.done = line.done, None
+            if done is not None:
+                done(None)
+
+        line.stream = Stream(self.loop, sock, data, lost)
+        return line
+
+    def close(self) -> None:
+        """Close idle connections."""
+        for line in self.idle:
+            if line.stream is not None:
+                line.stream.close()
+        self.idle.clear()
+
+
+def _end_line(now: int, name: str, status: int, response: Response | None) -> End:
+    if response is None:
+        return End(now, name, status)
+    inside, _, asked = response.headers.get("quincepath-parts", "0/0").partition("/")
+    return End(
+        now, name, status, response.headers.get("quincepath-answer", ""), int(inside), int(asked),
+        int(response.headers.get("quincepath-retry-after-ms", "0")),
+    )  # fmt: skip
--- /dev/null
+++ b/quincepath/membership/roster.py
@@ -0,0 +1,106 @@
+"""The pure state behind the list of holders: facts in, the module's list news and addresses out.
+
+A holder is known to the module by its address (its ``NodeId``: four bytes and a port). The module is told
+of what changed only; the first list is CACHED where it may be old (read at start), later ones are DELTA. A
+holder that vanished from the list is told as gone. Each change can be explained in a line.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from quincepath.interface import Entry, Members, NodeId, Phase, Scope
+
+
+@dataclass(slots=True, frozen=True)
+class Fact:
+    """What a source says of one holder. ``since``: ns of its last start on the broker's clock, 0 long ago."""
+
+    name: str
+    node: NodeId
+    path: str
+    zone: int
+    cell: int
+    shards: tuple[str, ...]
+    phase: Phase
+    since: int
+
+
+@dataclass(slots=True, frozen=True)
+class Change:
+    """One difference that was taken over, for the log: what it was before and is now."""
+
+    name: str
+    what: str
+
+
+SAME_START = 1_000_000_000  # ns: starts told this close together are one start told on two clocks
+
+
+class RosterState:
+    """Holders as last told. Bounded by the list itself: who is gone and told so is forgotten."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.facts: dict[NodeId, Fact] = {}
+        self._told_once = False
+
+    def address(self, node: NodeId) -> Fact | None:
+        """Where a node is; None for one that no list names any more."""
+        return self.facts.get(node)
+
+    def take(self, facts: Sequence[Fact]) -> tuple[Members | None, list[Change]]:
+        """A whole list was read: news for the module, None where nothing changed, and what changed."""
+        changes: list[Change] = []
+        entries: list[Entry] = []
+        named = {fact.node: fact for fact in facts}
+        for fact in facts:
+            before = self.facts.get(fact.node)
+            if before is not None and fact.since and abs(fact.since - before.since) < SAME_START:
+                # The start is told in wall time: the same one must not look new after a small clock step.
+                fact = Fact(
+                    fact.name,
+                    fact.node,
+                    fact.path,
+                    fact.zone,
+                    fact.cell,
+                    fact.shards,
+                    fact.phase,
+                    before.since,
+                )
+                named[fact.node] = fact
+            if fact == before:
+                continue
+            changes.append(Change(fact.name, self._what(before, fact)))
+            entries.append(self._entry(fact, fact.phase))
+        for node, fact in self.facts.items():
+            if node not in named and fact.phase is not Phase.GONE:
+                changes.append(Change(fact.name, "gone from the list"))
+                entries.append(self._entry(fact, Phase.GONE))
+        self.facts = named
+        if not entries and self._told_once:
+            return None, changes
+        self.version += 1
+        scope = Scope.DELTA if self._told_once else Scope.CACHED
+        self._told_once = True
+        return Members(scope, self.version, tuple(entries)), changes
+
+    def failed(self) -> Members:
+        """The source could not be read: what was told before stays in force."""
+        return Members(Scope.FAILED, self.version, ())
+
+    @staticmethod
+    def _entry(fact: Fact, phase: Phase) -> Entry:
+        return Entry(fact.node, 0, fact.zone, fact.cell, fact.since, phase, 1.0)
+
+    @staticmethod
+    def _what(before: Fact | None, now: Fact) -> str:
+        if before is None:
+            return f"new, {now.phase.name.lower()}, shards {'+'.join(now.shards)}"
+        said = []
+        if before.phase is not now.phase:
+            said.append(f"{before.phase.name.lower()} -> {now.phase.name.lower()}")
+        if before.since != now.since:
+            said.append("started anew")
+        if before.shards != now.shards:
+            said.append(f"shards {'+'.join(before.shards)} -> {'+'.join(now.shards)}")
+        return ", ".join(said) or "described anew"
--- /dev/null
+++ b/quincepath/merge/__init__.py
@@ -0,0 +1,1 @@
+"""Parts into one answer."""
--- /dev/null
+++ b/quincepath/net/http1.py
@@ -0,0 +1,188 @@
+"""HTTP/1.1 without sockets: bytes in, messages out, by httptools, with limits on every size."""
+
+from collections import deque
+from dataclasses import dataclass, field
+from http import HTTPStatus
+
+import httptools
+
+
+class HttpError(Exception):
+    """The peer broke the protocol or a limit; ``status`` is what a server answers before it closes."""
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.status, self.text = status, text
+
+
+@dataclass(slots=True, frozen=True)
+class Limits:
+    """Sizes in bytes; ``headers`` counts names and values of one message."""
+
+    headers: int = 32 * 1024
+    body: int = 8 * 1024 * 1024
+
+
+@dataclass(slots=True)
+class Request:
+    """One whole request; header names in lower case, repeated ones joined by a comma."""
+
+    method: str
+    target: str
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+    keep_alive: bool = True
+
+    @property
+    def path(self) -> str:
+        """The target without its query string."""
+        return self.target.partition("?")[0]
+
+
+@dataclass(slots=True)
+class Response:
+    """One whole response."""
+
+    status: int
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+    keep_alive: bool = True
+
+
+class _Reader:
+    """What both sides share: header and body accumulation within limits."""
+
+    def __init__(self, limits: Limits) -> None:
+        self.limits = limits
+        self.error: HttpError | None = None
+        self.busy = False  # inside a message
+        self._reset()
+
+    def _reset(self) -> None:
+        self._headers: dict[str, str] = {}
+        self._header_bytes = 0
+        self._chunks: list[bytes] = []
+        self._body_bytes = 0
+
+    def _fail(self, status: int, text: str) -> None:
+        self.error = HttpError(status, text)
+        raise self.error
+
+    def on_message_begin(self) -> None:
+        self._reset()
+        self.busy = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._header_bytes += len(name) + len(value)
+        if self._header_bytes > self.limits.headers:
+            self._fail(431, f"headers of more than {self.limits.headers} bytes")
+        key, text = name.decode("latin-1").lower(), value.decode("latin-1")
+        self._headers[key] = f"{self._headers[key]}, {text}" if key in self._headers else text
+
+    def on_headers_complete(self) -> None:
+        length = self._headers.get("content-length", "0")
+        if length.isdigit() and int(length) > self.limits.body:
+            self._fail(413, f"a body of {length} bytes where {self.limits.body} are allowed")
+
+    def on_body(self, body: bytes) -> None:
+        self._body_bytes += len(body)
+        if self._body_bytes > self.limits.body:
+            self._fail(413, f"a body of more than {self.limits.body} bytes")
+        self._chunks.append(bytes(body))
+
+    def _feed(
+        self, parser: "httptools.HttpRequestParser | httptools.HttpResponseParser", data: bytes
+    ) -> None:
+        if self.error is not None:
+            raise self.error
+        try:
+            parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self.error = HttpError(501, "protocol upgrades are not served")
+        except httptools.HttpParserError as error:
+            self.error = self.error or HttpError(400, f"not HTTP/1.1: {error}")
+        if self.error is not None:
+            raise self.error
+
+
+class RequestReader(_Reader):
+    """Server side: ``feed`` returns the requests completed by these bytes, in order; pipelining included."""
+
+    def __init__(self, limits: Limits) -> None:
+        super().__init__(limits)
+        self.done: deque[Request] = deque()
+        self.wants_continue = False
+        self._target = b""
+        self._parser = httptools.HttpRequestParser(self)
+
+    def on_url(self, url: bytes) -> None:
+        self._target += url
+        if len(self._target) > self.limits.headers:
+            self._fail(414, f"a target of more than {self.limits.headers} bytes")
+
+    def on_message_begin(self) -> None:
+        self._target = b""
+        super().on_message_begin()
+
+    def on_headers_complete(self) -> None:
+        super().on_headers_complete()
+        self.wants_continue = self._headers.get("expect", "").lower() == "100-continue"
+
+    def on_message_complete(self) -> None:
+        self.busy = self.wants_continue = False
+        self.done.append(
+            Request(
+                self._parser.get_method().decode("latin-1"),
+                self._target.decode("latin-1"),
+                self._headers,
+                b"".join(self._chunks),
+                self._parser.should_keep_alive(),
+            )
+        )
+
+    def feed(self, data: bytes) -> None:
+        """Take bytes; whole requests are in ``done``. Raises ``HttpError``; ``done`` before it stays good."""
+        self._feed(self._parser, data)
+
+
+class ResponseReader(_Reader):
+    """Client side of one call at a time; ``done`` is set when its response is whole."""
+
+    def __init__(self, limits: Limits) -> None:
+        super().__init__(limits)
+        self.done: Response | None = None
+        self._parser = httptools.HttpResponseParser(self)
+
+    def on_message_complete(self) -> None:
+        self.busy = False
+        if self._parser.get_status_code() >= 200:  # an interim answer is not the answer
+            self.done = Response(
+                self._parser.get_status_code(),
+                self._headers,
+                b"".join(self._chunks),
+                self._parser.should_keep_alive(),
+            )
+
+    def feed(self, data: bytes) -> Response | None:
+        """Take bytes; the whole response once it is there. Raises ``HttpError``."""
+        self._feed(self._parser, data)
+        found, self.done = self.done, None
+        return found
+
+
+def _head(first: str, headers: dict[str, str]) -> bytes:
+    lines = [first, *(f"{name}: {value}" for name, value in headers.items()), "", ""]
+    return "\r\n".join(lines).encode("latin-1", "replace")
+
+
+def response_head(status: int, headers: dict[str, str], length: int, keep_alive: bool) -> bytes:
+    """Status line and headers of a response with a body of ``length`` bytes."""
+    phrase = HTTPStatus(status).phrase if status in HTTPStatus._value2member_map_ else "Unknown"
+    fixed = {"Content-Length": str(length), "Connection": "keep-alive" if keep_alive else "close"}
+    return _head(f"HTTP/1.1 {status} {phrase}", headers | fixed)
+
+
+def request_bytes(method: str, target: str, host: str, headers: dict[str, str], body: bytes) -> bytes:
+    """A whole request."""
+    fixed = {"Host": host, **headers, "Content-Length": str(len(body))}
+    return _head(f"{method} {target} HTTP/1.1", fixed) + body
--- /dev/null
+++ b/quincepath/net/server.py
@@ -0,0 +1,190 @@
+"""HTTP server side on the loop: one request of a connection at a time, in order, within stated times.
+
+A pipelined request waits in the reader until the one before it is answered; it is *taken* then, and its
+client's time starts then, because an answer could not pass the earlier one anyway. While a request is open
+the connection is still read, so that a client that leaves is noticed; what it sends ahead is bounded.
+"""
+
+import socket
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from quincepath.net.http1 import HttpError, Limits, Request, RequestReader, response_head
+from quincepath.net.loop import Loop
+from quincepath.net.stream import Listener, Stream
+
+SWEEP = 250_000_000  # ns between looks for connections past a time limit
+AHEAD = 16  # pipelined requests read ahead at most; then the connection is not read until they are served
+TEXT = {"Content-Type": "text/plain; charset=utf-8"}
+
+
+@dataclass(slots=True, frozen=True)
+class Times:
+    """Nanoseconds: between requests, within one request's arrival, without a byte taken by the client."""
+
+    idle: int
+    request: int
+    write: int
+
+
+class Exchange:
+    """One request and the one answer that it is owed."""
+
+    def __init__(self, peer: "Peer", request: Request) -> None:
+        self.peer, self.request = peer, request
+        self.answered = False
+        self.on_left: Callable[[], None] | None = None
+
+    def respond(self, status: int, headers: dict[str, str], body: bytes = b"") -> bool:
+        """Answer; false, with nothing sent, where the answer was given before or the client has left."""
+        if self.answered or self.peer.stream.closed:
+            return False
+        self.answered = True
+        self.peer.respond(status, headers, body, self.request.keep_alive)
+        return True
+
+    def text(self, status: int, text: str, headers: dict[str, str] | None = None) -> bool:
+        """Answer with a line of plain text."""
+        return self.respond(status, TEXT | (headers or {}), text.encode() + b"\n")
+
+
+class Peer:
+    """One client connection."""
+
+    def __init__(self, server: "HttpServer", sock: socket.socket) -> None:
+        self.server = server
+        self.reader = RequestReader(server.limits)
+        self.current: Exchange | None = None
+        self.since = server.loop.now  # of the state now: idle, or a request being read
+        self.arriving = False
+        self.closing = False
+        self.error: HttpError | None = None
+        self.stream = Stream(server.loop, sock, self._data, self._closed, self._drained)
+
+    def _data(self, data: bytes) -> None:
+        if not self.arriving:
+            self.arriving, self.since = True, self.server.loop.now
+        try:
+            self.reader.feed(data)
+        except HttpError as error:
+            self.error = error
+            self.stream.pause()
+        if self.reader.wants_continue and self.current is None and self.error is None:
+            self.reader.wants_continue = False
+            self.stream.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        if len(self.reader.done) >= AHEAD:
+            self.stream.pause()
+        self._next()
+
+    def _next(self) -> None:
+        """Take the next whole request, if nothing is open; a protocol error is answered in its turn."""
+        while self.current is None and not self.closing and not self.stream.closed:
+            if self.reader.done:
+                if len(self.reader.done) == AHEAD and self.error is None:
+                    self.stream.resume()
+                request = self.reader.done.popleft()
+                self.arriving = self.reader.busy
+                self.since = self.server.loop.now
+                exchange = self.current = Exchange(self, request)
+                self.server.counts["requests"] += 1
+                self.server.handler(exchange)
+            elif self.error is not None:
+                self.server.counts["protocol_errors"] += 1
+                self._send(self.error.status, TEXT, self.error.text.encode() + b"\n", keep_alive=False)
+            else:
+                return
+
+    def respond(self, status: int, headers: dict[str, str], body: bytes, keep_alive: bool) -> None:
+        """Send the open request's answer and go on to the next request."""
+        self.current = None
+        self.since = self.server.loop.now
+        self._send(status, headers, body, keep_alive and not self.server.draining)
+        if not self.closing:
+            self.server.loop.call_at(self.server.loop.now, self._next)  # not from within the handler
+
+    def _send(self, status: int, headers: dict[str, str], body: bytes, keep_alive: bool) -> None:
+        if not keep_alive:
+            self.closing = True
+            self.stream.pause()
+        self.stream.write(response_head(status, headers, len(body), keep_alive), body)
+
+    def _drained(self) -> None:
+        if self.closing and not self.stream.closed:
+            self.stream.close()
+            self._closed("answered and closed")
+
+    def _closed(self, _why: str) -> None:
+        self.server.peers.pop(self, None)
+        exchange, self.current = self.current, None
+        if exchange is not None and exchange.on_left is not None:
+            exchange.on_left()
+
+    def expire(self, now: int, times: Times) -> None:
+        """Close or answer what is past its time."""
+        if self.stream.pending:
+            if now > self.stream.progress_at + times.write:
+                self._cut("slow_readers")
+        elif self.current is None and self.arriving:
+            if now > self.since + times.request:
+                self.server.counts["slow_senders"] += 1
+                self._send(408, TEXT, b"the request did not arrive in time\n", keep_alive=False)
+        elif self.current is None and (now > self.since + times.idle or self.server.draining):
+            self._cut("idle_closed")
+
+    def _cut(self, count: str) -> None:
+        self.server.counts[count] += 1
+        self.stream.close()
+        self._closed(count)
+
+
+class HttpServer:
+    """A listener and its connections. ``handler(exchange)`` may answer at once or later, once."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        host: str,
+        port: int,
+        handler: Callable[[Exchange], None],
+        limits: Limits,
+        times: Times,
+        most: int,
+        on_rest: Callable[[str], None] = lambda why: None,
+    ) -> None:
+        self.loop, self.handler, self.limits, self.times = loop, handler, limits, times
+        self.peers: dict[Peer, None] = {}
+        self.counts: Counter[str] = Counter()
+        self.draining = False
+
+        def rest(why: str) -> None:
+            self.counts["accept_rests"] += 1
+            on_rest(why)
+
+        self.listener = Listener(loop, host, port, self._accept, lambda: len(self.peers), most, rest)
+        self.port = self.listener.port
+        self._sweep()
+
+    def _accept(self, sock: socket.socket) -> None:
+        self.counts["accepted"] += 1
+        self.peers[Peer(self, sock)] = None
+
+    def _sweep(self) -> None:
+        for peer in list(self.peers):
+            peer.expire(self.loop.now, self.times)
+        if not self.listener.closed or self.peers:
+            self.loop.call_in(SWEEP, self._sweep)
+
+    def drain(self) -> None:
+        """Accept no more; idle connections close, open requests are still answered."""
+        self.draining = True
+        self.listener.close()
+        for peer in list(self.peers):
+            peer.expire(self.loop.now, self.times)
+
+    def close(self) -> None:
+        """Close all at once."""
+        self.listener.close()
+        for peer in list(self.peers):
+            peer.stream.close()
+        self.peers.clear()
--- /dev/null
+++ b/quincepath/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Logs and metrics."""
--- /dev/null
+++ b/quincepath/shards/__init__.py
@@ -0,0 +1,1 @@
+"""Which shards a query touches and which holders have them."""
--- /dev/null
+++ b/quincepath/shards/shardmap.py
@@ -0,0 +1,69 @@
+"""Which shards a query touches, by its matchers on the shard label, and what a part asks there.
+
+Pure. Shard numbers are the module's: a shard of replica set g (a *cell* there) has a number that leaves g
+modulo the number of sets, so the module's rule "shard s is held by the nodes of cell s" holds for any sets.
+"""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+Accepts = Callable[[str], bool]
+
+
+@dataclass(slots=True, frozen=True)
+class Shard:
+    """One shard; ``alone`` tells that its holders hold no other."""
+
+    number: int
+    name: str
+    cell: int
+    values: tuple[str, ...]
+    alone: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Touch:
+    """A shard that a query touches: label values there that pass; ``unlabelled``: series without it."""
+
+    shard: Shard
+    values: tuple[str, ...]
+    unlabelled: bool
+
+
+class ShardMap:
+    """A fixed map. ``entries`` are (name, set, values) in order; ``unlabelled_anywhere`` as configured."""
+
+    def __init__(
+        self, label: str, entries: Sequence[tuple[str, str, Sequence[str]]], unlabelled_anywhere: bool
+    ) -> None:
+        self.label, self.unlabelled_anywhere = label, unlabelled_anywhere
+        members: dict[str, list[str]] = {}
+        for name, group, _values in entries:
+            members.setdefault(group, []).append(name)
+        self.cells = {group: cell for cell, group in enumerate(members)}
+        self.shards: list[Shard] = []
+        for name, group, values in entries:
+            cell, place = self.cells[group], members[group].index(name)
+            alone = len(members[group]) == 1
+            number = cell + place * len(members)
+            self.shards.append(Shard(number, name, cell, tuple(values), alone))
+        self.by_number = {shard.number: shard for shard in self.shards}
+        self._cell_of = {frozenset(names): self.cells[group] for group, names in members.items()}
+
+    def cell_of(self, names: Sequence[str]) -> int | None:
+        """The cell whose shards are exactly these; None where there is no such set."""
+        return self._cell_of.get(frozenset(names))
+
+    def touched(self, matchers: Sequence[Accepts]) -> list[Touch]:
+        """Shards that may hold series passing all of these matchers on the shard label, by number.
+
+        A series without the label counts as having the empty value, by the rules of the protocol: a matcher
+        that accepts the empty string prunes nothing where such series may stand anywhere.
+        """
+        empty = self.unlabelled_anywhere and all(accepts("") for accepts in matchers)
+        found = []
+        for shard in self.shards:
+            values = tuple(v for v in shard.values if all(accepts(v) for accepts in matchers))
+            if values or empty:
+                found.append(Touch(shard, values, empty))
+        return sorted(found, key=lambda touch: touch.shard.number)
--- /dev/null
+++ b/quincepath/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for outside systems, written from public specifications."""
--- /dev/null
+++ b/quincepath/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""What is spoken to holders: pools, calls, and what each ending means."""
