--- a/quincepath/broker/service.py
+++ b/quincepath/broker/service.py
@@ -30,6 +30,7 @@
 from quincepath.fronts.remote_read.front import RemoteReadFront, Reply, name_of
 from quincepath.fronts.remote_read.plan import Plan
 from quincepath.interface import Members, NodeId, Settings
+from quincepath.limits.door import Bounds, Door, TurnAway
 from quincepath.membership.source import ListSource
 from quincepath.net.http1 import Limits
 from quincepath.net.loop import Loop, Timer
@@ -42,7 +43,6 @@
 from quincepath.upstream.remote_read import RemoteReadCalls
 
 MakeModule = Callable[[Settings, int], Module]
-DOOR_RETRY = 1_000_000_000  # ns of advice to a query turned away at the door
 METRICS_TIMES = Times(idle=30_000_000_000, request=5_000_000_000, write=5_000_000_000)
 
 
@@ -71,7 +71,9 @@
         )
         self.source = ListSource(config, self.map, base, clock=loop.clock)
         settings = module_settings(config)
-        module = make_module(settings, config.broker.seed or time.time_ns())
+        seed = config.broker.seed or time.time_ns()
+        module = make_module(settings, seed)
+        self.door = Door(Bounds(config.limits.max_open, config.limits.max_retry_after), seed)
         self.driver = Driver(module, settings, config.rules.drain_grace)
         self.front = RemoteReadFront(config, self.map)
         self.upstream = Upstream(
@@ -126,10 +128,15 @@
         self._handles += 1
         handle = self._handles
         name = name_of(exchange.request, handle)
-        if self.stopping:
-            self._turn_away(exchange, "stopping", name)
-            return
-        found = self.front.read(exchange.request, handle, name)
+        if self.door.stopping:
+            away = self.door.admit(self.loop.now, 0, 0)
+            if away is not None:
+                self._turn_away(exchange, away, name)
+                return
+        try:
+            found = self.front.read(exchange.request, handle, name)
+        except Exception:  # guards the other queries against one that meets a fault of this program
+            found = self._internal(name)
         if isinstance(found, Reply):
             if found.verdict is None:
                 self.metrics.bad.labels(str(found.status)).inc()
@@ -141,18 +148,24 @@
         ask, plan = found
         work = 1 + len(ask.parts)
         # What came in this turn is not the driver's yet: a burst must not slip in uncounted.
-        if self.driver.open_work() + self.arriving + work > self.config.limits.max_open:
-            self._turn_away(exchange, "too much open", name)
+        away = self.door.admit(self.loop.now, self.driver.open_work() + self.arriving, work)
+        if away is not None:
+            self._turn_away(exchange, away, name)
             return
         self.open[handle] = _Open(exchange, plan, name, plan.entry.name)
         exchange.on_left = lambda: self._left(handle)
         self.arriving += work
         self.inbox.append(Arrived(ask))
 
-    def _turn_away(self, exchange: Exchange, why: str, name: str) -> None:
-        self.metrics.turn_away.labels(why).inc()
-        self.log.info("turned away", query=name, cause=why)
-        reply = self.front.refusal(f"refused: {why}; asking again is harmless", DOOR_RETRY)
+    def _internal(self, name: str) -> Reply:
+        self.metrics.internal.inc()
+        self.log.exception("internal error", query=name)
+        return Reply(500, {"Content-Type": "text/plain"}, b"failed: internal error\n", Verdict.FAILED)
+
+    def _turn_away(self, exchange: Exchange, away: TurnAway, name: str) -> None:
+        self.metrics.turn_away.labels(away.cause).inc()
+        self.log.info("turned away", query=name, cause=away.cause)
+        reply = self.front.refusal(f"refused: {away.cause}; asking again is harmless", away.retry_in)
         exchange.respond(reply.status, reply.headers, reply.body)
 
     def _left(self, handle: int) -> None:
@@ -265,7 +278,10 @@
         held = self.open.pop(finish.handle, None)
         if held is None:
             return
-        reply = self.front.write(finish, held.plan)
+        try:
+            reply = self.front.write(finish, held.plan)
+        except Exception:  # the query is still owed its one answer
+            reply = self._internal(held.name)
         held.exchange.on_left = None
         held.exchange.respond(reply.status, reply.headers, reply.body)
         answer = reply.verdict.value if reply.verdict else "failed"
@@ -290,6 +306,7 @@
             return
         self.log.info("stopping", open=len(self.open))
         self.stopping = True
+        self.door.stop()
         self.on_stopped = on_stopped
         self.server.drain()
         self.loop.call_at(self.loop.now, lambda: None)
--- a/quincepath/cli/main.py
+++ b/quincepath/cli/main.py
@@ -47,7 +47,7 @@
 
 @click.group()
 @click.option("--log-format", type=click.Choice(["json", "console"]), default="json")
-@click.option("--log-level", type=click.Choice(["debug", "info", "warning", "error"]), default="warning")
+@click.option("--log-level", type=click.Choice(["debug", "info", "warning", "error"]), default="info")
 def main(log_format: Any, log_level: str) -> None:
     """A query aggregator: spreads queries over shards, merges, and gives one honest answer."""
     setup(log_format, log_level)
--- a/quincepath/fronts/remote_read/front.py
+++ b/quincepath/fronts/remote_read/front.py
@@ -16,6 +16,7 @@
 from quincepath.config.values import parse_duration
 from quincepath.fronts.remote_read.codec import HEADERS, VERSION_HEADER, CodecError, decode_request, encode
 from quincepath.fronts.remote_read.plan import BadRequest, Plan, Planner
+from quincepath.fronts.remote_read.remote_pb2 import ReadRequest
 from quincepath.merge.series import MergeError, MergeStats, merge
 from quincepath.net.http1 import Request
 from quincepath.shards.shardmap import ShardMap
@@ -66,6 +67,9 @@
             return text_reply(415, f"Content-Type {kind!r}; expected application/x-protobuf")
         try:
             message = decode_request(request.body, self._most_request)
+            accepted = message.accepted_response_types
+            if accepted and ReadRequest.SAMPLES not in accepted:
+                return text_reply(415, "only SAMPLES answers are served, and the request accepts none")
             plan = self.planner.plan(message)
             time_left = self._time(request, plan)
         except (CodecError, BadRequest) as error:
--- a/quincepath/merge/series.py
+++ b/quincepath/merge/series.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from operator import lt
 
 from quincepath.fronts.remote_read.remote_pb2 import ReadResponse, TimeSeries
 
@@ -53,9 +54,7 @@
 def _sorted_inside(series: TimeSeries) -> bool:
     names = [label.name for label in series.labels]
     times = [sample.timestamp for sample in series.samples]
-    return all(a < b for a, b in zip(names, names[1:], strict=False)) and all(
-        a < b for a, b in zip(times, times[1:], strict=False)
-    )
+    return all(map(lt, names, names[1:])) and all(map(lt, times, times[1:]))
 
 
 def merge(
--- a/quincepath/net/stream.py
+++ b/quincepath/net/stream.py
@@ -31,6 +31,7 @@
         self._on_data, self._on_close, self._on_drained = on_data, on_close, on_drained
         self._out: deque[memoryview] = deque()
         self.pending = 0
+        self.unsent = 0  # bytes that the system had not taken when it was closed
         self.progress_at = loop.now
         self.closed = False
         self._reading = True
@@ -68,7 +69,7 @@
             return
         self.closed = True
         self._out.clear()
-        self.pending = 0
+        self.unsent, self.pending = self.pending, 0
         self.loop.watch(self.sock, 0, self._ready)
         if reset:
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
--- a/quincepath/observe/metrics.py
+++ b/quincepath/observe/metrics.py
@@ -38,6 +38,9 @@
         self.breaches = Counter(
             "quincepath_contract_breaches", "Broken contracts made harmless", ["name"], registry=registry
         )
+        self.internal = Counter(
+            "quincepath_internal_errors", "Queries failed by a fault of this program", registry=registry
+        )
         self.open_queries = Gauge("quincepath_open_queries", "Queries open", registry=registry)
         self.open_parts = Gauge("quincepath_open_parts", "Parts held", registry=registry)
         self.connections = Gauge("quincepath_connections", "Connections open", ["side"], registry=registry)
--- a/quincepath/upstream/pool.py
+++ b/quincepath/upstream/pool.py
@@ -88,7 +88,11 @@
     def dial(self) -> None:
         """Begin to connect; goes on in ``_dialled``."""
         owner = self.owner
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as error:  # out of descriptors: this call ends, the broker goes on
+            self._drop(of_transport(End.UNREACHABLE, error.strerror or str(error)))
+            return
         sock.setblocking(False)
         self.dialling = sock
         address = ".".join(str(byte) for byte in self.node[:4])
@@ -150,7 +154,7 @@
 
     def _lost(self, why: str) -> None:
         stream, call = self.stream, self.call
-        unsent = call is not None and stream is not None and stream.pending >= len(call.request)
+        unsent = call is not None and stream is not None and stream.unsent >= len(call.request)
         self._drop(of_transport(End.LOST_UNSENT if unsent else End.LOST, why))
 
     def _drop(self, meaning: Meaning | None) -> None:
