A laboratory in virtual time around the real driver and module

Staff need to rehearse incidents, and maintainers to see what a change does at sizes that sockets on one machine don't reach.

--- a/benchmarks/throughput.py
+++ b/benchmarks/throughput.py
@@ -378,6 +378,7 @@
 def watch_memory(ports: list[int], plan: QueryPlan, queries: int) -> dict[str, int]:
     """Resident memory of the module kind as queries pass, in ten steps."""
     served = Served("module", ports)
+    closed_loop(served.url, plan, 8, 1.0)  # before any reply a burst is refused
     found = {}
     for step in range(1, 11):
         closed_loop(served.url, plan, CONNECTIONS, 600, queries // 10)
--- /dev/null
+++ b/quincepath/cli/lab.py
@@ -0,0 +1,243 @@
+"""``quincepath rehearse``, ``replay`` and ``hunt``: the laboratory on the command line."""
+
+import json
+import sys
+from importlib.metadata import version
+from pathlib import Path
+from typing import Any
+
+import click
+from rich.console import Console
+from rich.table import Table
+
+from quincepath.config.load import ConfigError, load, parse
+from quincepath.config.values import parse_duration
+from quincepath.lab.emulator.hunt import Find, cut_down, search
+from quincepath.lab.emulator.recording import RecordingError, RecordingWriter, read_recording
+from quincepath.lab.emulator.rehearsal import Outcome, rehearse
+from quincepath.lab.emulator.script import Script
+from quincepath.lab.emulator.story import StoryError, tell
+from quincepath.lab.emulator.world import BEGIN
+from quincepath.lab.record import Line
+
+BAD_INPUT = 2
+FINDINGS_SHOWN = 20
+
+
+def fail(lines: list[str]) -> None:
+    """Say what is wrong with the input and end."""
+    for line in lines:
+        click.echo(line, err=True)
+    sys.exit(BAD_INPUT)
+
+
+def _script(path: Path) -> Script:
+    try:
+        return load(path, Script)
+    except ConfigError as error:
+        fail(error.lines)
+        raise AssertionError from None
+
+
+def with_settings(script: Script, settings: tuple[str, ...]) -> Script:
+    """The script with ``path=value`` changes, checked as a whole. Raises ``ConfigError``."""
+    values: dict[str, Any] = script.model_dump(mode="json")
+    _durations_back(values)
+    for setting in settings:
+        path, sign, value = setting.partition("=")
+        node: Any = values
+        *way, last = path.split(".")
+        try:
+            for step in way:
+                node = node[int(step)] if isinstance(node, list) else node[step]
+            if not sign or last not in (node if isinstance(node, dict) else range(len(node))):
+                raise KeyError(last)
+        except (KeyError, IndexError, ValueError, TypeError):
+            raise ConfigError(
+                [f"--setting {setting!r}: expected path=value with a path of the script"]
+            ) from None
+        node[last] = json.loads(value) if value[:1] in '[{0123456789-"' and _is_json(value) else value
+    return parse(json.dumps(values), Script, "--setting")
+
+
+def _is_json(text: str) -> bool:
+    try:
+        json.loads(text)
+    except ValueError:
+        return False
+    return True
+
+
+DURATIONS = {
+    "length",
+    "ramp",
+    "connect_work",
+    "wait",
+    "same_zone",
+    "cross_zone",
+    "at",
+    "last",
+    "every",
+    "pause",
+    "work",
+    "target",
+    "deadline",
+    "connect_timeout",
+    "idle_close",
+    "max_retry_after",
+    "drain_grace",
+    "ramp_time",
+    "overload_for",
+    "budget_window",
+    "lag",
+}
+SIZES = {"max_answer", "max_merged"}
+
+
+def _durations_back(node: Any) -> None:
+    """Checked models hold times as ns and sizes as bytes: give them their units again."""
+    items = node.items() if isinstance(node, dict) else enumerate(node) if isinstance(node, list) else ()
+    for key, value in list(items):
+        if key in DURATIONS and isinstance(value, int):
+            node[key] = f"{value}ns"
+        elif key in SIZES and isinstance(value, int):
+            node[key] = f"{value}B"
+        elif key == "lag":
+            node[key] = [f"{one}ns" for one in value]
+        else:
+            _durations_back(value)
+
+
+def _show(outcomes: dict[str, Outcome]) -> None:
+    table = Table(title="simulated")
+    table.add_column("")
+    for name in outcomes:
+        table.add_column(name, justify="right")
+    rows = {name: outcome.figures() for name, outcome in outcomes.items()}
+    for key in next(iter(rows.values())):
+        cells = [json.dumps(figures[key]) for figures in rows.values()]
+        table.add_row(key.replace("_", " "), *cells)
+    Console(width=max(Console().width, 110)).print(table)
+
+
+@click.command(name="rehearse")
+@click.argument("script", type=click.Path(path_type=Path))
+@click.option("--seed", type=int, help="Instead of the script's.")
+@click.option("--record", type=click.Path(path_type=Path), help="Keep a recording in this file.")
+@click.option("--vs", type=click.Path(path_type=Path), help="Another script to compare with.")
+@click.option("--setting", multiple=True, help="path=value: compare with the script so changed.")
+@click.option("--json", "as_json", is_flag=True)
+def rehearse_command(
+    script: Path,
+    seed: int | None,
+    record: Path | None,
+    vs: Path | None,
+    setting: tuple[str, ...],
+    as_json: bool,
+) -> None:
+    """Play an incident in virtual time. Exit status 1 if a rule broke or a holder fell over."""
+    plan = _script(script)
+    jobs = {script.name: plan}
+    if vs is not None:
+        jobs[vs.name] = _script(vs)
+    if setting:
+        try:
+            jobs[", ".join(setting)] = with_settings(plan, setting)
+        except ConfigError as error:
+            fail(error.lines)
+    outcomes: dict[str, Outcome] = {}
+    for name, one in jobs.items():
+        writer = None
+        if record is not None and one is plan:
+            text = script.read_text(encoding="utf-8")
+            chosen = plan.seed if seed is None else seed
+            writer = RecordingWriter(record, text, chosen, version("quincepath"))
+        total = one.length // 1_000_000_000
+        with click.progressbar(length=total, label=name, file=sys.stderr) as bar:
+            seen = 0
+
+            def sink(
+                line: Line, writer: RecordingWriter | None = writer, bar: Any = bar, total: int = total
+            ) -> None:
+                nonlocal seen
+                if writer is not None:
+                    writer.write(line)
+                second = min((getattr(line, "at", 0) - BEGIN) // 1_000_000_000, total)
+                if second > seen:
+                    bar.update(second - seen)
+                    seen = second
+
+            outcomes[name] = rehearse(one, seed, sink)
+        if writer is not None:
+            writer.close()
+    if as_json:
+        click.echo(json.dumps({name: outcome.figures() for name, outcome in outcomes.items()}))
+    else:
+        _show(outcomes)
+    first = outcomes[script.name]
+    for finding in first.report.findings[:FINDINGS_SHOWN]:
+        click.echo(f"{finding} (at {(finding.at - BEGIN) / 1e9:.3f} s)")
+    for name in first.fell:
+        click.echo(f"{name} fell over")
+    sys.exit(1 if first.broken else 0)
+
+
+@click.command()
+@click.argument("record", type=click.Path(path_type=Path))
+@click.option("--query", help="Tell the story of this query, such as c12.0.")
+@click.option("--at", help="Up to this time of the day, such as 8.5s.")
+def replay(record: Path, query: str | None, at: str | None) -> None:
+    """Look into a recording; with --query run it again and tell what its broker knew and did."""
+    try:
+        found = read_recording(record)
+        until = None if at is None else BEGIN + parse_duration(at)
+    except RecordingError as error:
+        fail([str(error)])
+        return
+    except ValueError as error:
+        fail([f"--at {at!r}: {error}"])
+        return
+    if found.damage:
+        click.echo(f"{found.damage}; {len(found.lines)} lines before it", err=True)
+    if query is None:
+        kinds: dict[str, int] = {}
+        for line in found.lines:
+            if until is None or getattr(line, "at", 0) <= until:
+                name = type(line).__name__.lower()
+                kinds[name] = kinds.get(name, 0) + 1
+        said = ", ".join(f"{count} {name}" for name, count in sorted(kinds.items()))
+        click.echo(f"seed {found.head.seed}, made by {found.head.program}: {said}")
+        return
+    try:
+        script = parse(found.head.script, Script, f"{record.name} (script)")
+        for told in tell(script, found.head.seed, found.lines, query, until):
+            click.echo(told)
+    except (ConfigError, StoryError) as error:
+        fail([str(error)])
+
+
+@click.command()
+@click.option("--seeds", default=50, help="How many days to draw.")
+@click.option("--first", default=0, help="Number of the first.")
+@click.option("--large", is_flag=True, help="80 to 110 holders, 23 to 32 brokers.")
+@click.option("--worst", default=3, help="How many to cut down and show.")
+def hunt(seeds: int, first: int, large: bool, worst: int) -> None:
+    """Draw days from ranges and cut the worst down to what matters. Exit status 1 if a rule broke on any."""
+    finds: list[Find] = []
+    with click.progressbar(length=seeds, label="days", file=sys.stderr) as bar:
+        for find in search(range(first, first + seeds), large):
+            finds.append(find)
+            bar.update(1)
+    finds.sort(key=Find.badness, reverse=True)
+    broken = sum(find.outcome.broken for find in finds)
+    middle = sorted(find.outcome.good for find in finds)[len(finds) // 2]
+    click.echo(f"{len(finds)} days (simulated): {broken} broke a rule, good in the middle {middle:.3f}")
+    for find in finds[:worst]:
+        cut = cut_down(find)
+        kinds = ", ".join(f"{t.kind} at {t.at / 1e9:.1f} s" for t in cut.script.troubles)
+        click.echo(
+            f"day {find.number}: good {find.outcome.good:.3f}; cut down to {cut.outcome.good:.3f}: {kinds}"
+        )
+        for finding in cut.outcome.report.findings[:3]:
+            click.echo(f"  {finding}")
+    sys.exit(1 if broken else 0)
--- /dev/null
+++ b/quincepath/lab/emulator/hunt.py
@@ -0,0 +1,130 @@
+"""Fault search: scripts drawn from ranges, the worst kept and cut down to the troubles that matter. Pure."""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import Any, get_args
+
+import numpy as np
+
+from quincepath.lab.emulator.rehearsal import Outcome, rehearse
+from quincepath.lab.emulator.script import KINDS, Script
+
+ALL_KINDS = sorted(get_args(KINDS))
+KEPT = 0.8  # a cut script must lose so much of what the whole one loses, to count as the same find
+LENGTH = 14  # seconds of a drawn day
+
+
+@dataclass(slots=True, frozen=True)
+class Find:
+    """A drawn day: its number, script and outcome."""
+
+    number: int
+    script: Script
+    outcome: Outcome
+
+    def badness(self) -> float:
+        """What is lost; a broken rule or a fallen holder outweighs all."""
+        return (
+            10.0 * len(self.outcome.report.findings) + 10.0 * len(self.outcome.fell) + 1 - self.outcome.good
+        )
+
+
+def draw(number: int, large: bool = False) -> Script:
+    """A day by its number: fleet, traffic and one to four troubles, overlapping as they fall."""
+    random = np.random.default_rng([91, number])
+
+    def between(low: float, high: float) -> float:
+        return float(round(random.uniform(low, high), 2))
+
+    sets, replicas = (int(random.integers(40, 56)), 2) if large else (int(random.integers(2, 6)), 2)
+    brokers = int(random.integers(23, 33)) if large else int(random.integers(2, 9))
+    load = between(0.25, 0.6)  # of the cores, when all are sound
+    work_ms = between(10, 40)
+    shards = sets * 2
+    parts = min(shards, 12 if large else 5)
+    rate = load * sets * replicas * 2 * 1000 / work_ms / (0.6 * parts * 0.6 + 0.4 * 2.5 * 1.5)
+    troubles = []
+    for _ in range(int(random.integers(1, 5))):
+        at, last = between(2, 8), between(1.5, 6)
+        trouble: dict[str, Any] = {
+            "kind": ALL_KINDS[int(random.integers(len(ALL_KINDS)))],
+            "at": f"{at}s",
+            "last": f"{last}s",
+            "holders": between(0.1, 0.35),
+            "brokers": between(0.1, 0.5),
+            "times": between(2, 9),
+            "share": between(0.3, 0.95),
+            "every": f"{between(1.5, 4)}s",
+            "pause": f"{int(between(200, 500))}ms",
+        }
+        if trouble["kind"] in ("class_errors", "heavy_tail", "poison"):
+            trouble["of_class"] = "report" if random.random() < 0.5 else "glance"
+            if trouble["kind"] == "poison":
+                trouble["share"] = between(0.005, 0.03)
+            elif trouble["kind"] == "heavy_tail":
+                trouble["share"] = between(0.01, 0.1)
+        elif trouble["kind"] == "zone_loss":
+            trouble["zone"] = "lower"
+        elif trouble["kind"] in ("burst", "impatience"):
+            trouble["times"] = between(1.3, 2.5)
+        troubles.append(trouble)
+    return Script.model_validate(
+        {
+            "about": f"drawn day {number}",
+            "seed": number,
+            "length": f"{LENGTH}s",
+            "brokers": brokers,
+            "fleet": {
+                "sets": sets,
+                "replicas": replicas,
+                "shards": 2,
+                "ramp": f"{between(4, 10)}s",
+                "cold": between(0.12, 0.4),
+            },
+            "traffic": {"rate": round(rate, 1), "retries": int(random.integers(0, 3))},
+            "classes": [
+                {
+                    "name": "glance",
+                    "share": 6,
+                    "parts": [max(parts - 2, 1), parts],
+                    "work": f"{work_ms}ms",
+                    "target": "1500ms",
+                    "deadline": "3s",
+                    "need": "60%",
+                },
+                {
+                    "name": "report",
+                    "share": 4,
+                    "parts": [1, min(4, shards)],
+                    "work": f"{work_ms}ms",
+                    "target": "2s",
+                    "deadline": "5s",
+                    "second_step": True,
+                },
+            ],
+            "troubles": troubles,
+        }
+    )
+
+
+def search(numbers: Iterator[int] | range, large: bool = False) -> Iterator[Find]:
+    """Run drawn days, one after the other."""
+    for number in numbers:
+        script = draw(number, large)
+        yield Find(number, script, rehearse(script))
+
+
+def cut_down(find: Find, run: Callable[[Script], Outcome] = rehearse) -> Find:
+    """Leave out troubles, one at a time, as long as what is left loses nearly as much."""
+    best = find
+    again = True
+    while again and len(best.script.troubles) > 1:
+        again = False
+        for place in range(len(best.script.troubles)):
+            fewer = [t for at, t in enumerate(best.script.troubles) if at != place]
+            script = best.script.model_copy(update={"troubles": fewer})
+            tried = Find(find.number, script, run(script))
+            if tried.badness() >= KEPT * find.badness():
+                best, again = tried, True
+                break
+    return best
--- /dev/null
+++ b/quincepath/lab/emulator/recording.py
@@ -0,0 +1,110 @@
+"""Recordings: the script, its seed and every record line, compact, each frame with length and checksum.
+
+A file is a magic word, then frames: four bytes of length, four of CRC-32 of the payload, the payload in
+msgpack. The first frame is the head. A file that ends in the middle of a frame, or whose frame does not
+match its checksum, is read up to there, and said so.
+"""
+
+import struct
+import zlib
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import IO
+
+import msgspec
+
+from quincepath.lab.record import Line
+
+MAGIC = b"QPREC\x01\r\n"
+VERSION = 1
+FRAME = struct.Struct(">II")
+LONGEST = 1 << 24  # bytes of one frame: a length beyond it is damage, not data
+
+
+class RecordingHead(msgspec.Struct, frozen=True):
+    """What was run: the script's text, its seed, the program's version."""
+
+    version: int
+    script: str
+    seed: int
+    program: str
+
+
+class RecordingError(ValueError):
+    """Not a recording, or one of another version; the text names the file."""
+
+
+class RecordingWriter:
+    """Writes a recording; ``write`` is the sink of a rehearsal."""
+
+    def __init__(self, path: Path, script: str, seed: int, program: str) -> None:
+        self._file: IO[bytes] = path.open("wb")
+        self._encoder = msgspec.msgpack.Encoder()
+        self._file.write(MAGIC)
+        self._frame(self._encoder.encode(RecordingHead(VERSION, script, seed, program)))
+
+    def write(self, line: Line) -> None:
+        """Append one line."""
+        self._frame(self._encoder.encode(line))
+
+    def _frame(self, payload: bytes) -> None:
+        self._file.write(FRAME.pack(len(payload), zlib.crc32(payload)))
+        self._file.write(payload)
+
+    def close(self) -> None:
+        """Flush and close."""
+        self._file.close()
+
+
+@dataclass(slots=True)
+class Recording:
+    """What could be read. ``damage`` is empty, or says where reading stopped and why."""
+
+    head: RecordingHead
+    lines: list[Line]
+    damage: str
+
+
+def _frames(data: bytes, name: str) -> Iterator[bytes | str]:
+    at = len(MAGIC)
+    number = 0
+    while at < len(data):
+        if at + FRAME.size > len(data):
+            yield f"{name}: cut inside the length of frame {number}, at byte {at}"
+            return
+        size, checksum = FRAME.unpack_from(data, at)
+        payload = data[at + FRAME.size : at + FRAME.size + size]
+        if size > LONGEST or len(payload) < size:
+            yield f"{name}: cut inside frame {number}, at byte {at}"
+            return
+        if zlib.crc32(payload) != checksum:
+            yield f"{name}: frame {number} at byte {at} does not match its checksum"
+            return
+        yield payload
+        at += FRAME.size + size
+        number += 1
+
+
+def read_recording(path: Path) -> Recording:
+    """Read up to the end or the first damage. Raises ``RecordingError`` where not even the head is there."""
+    try:
+        data = path.read_bytes()
+    except OSError as error:
+        raise RecordingError(f"{path}: cannot be read: {error.strerror}") from None
+    if not data.startswith(MAGIC):
+        raise RecordingError(f"{path}: not a recording of this program")
+    frames = _frames(data, path.name)
+    first = next(frames, f"{path.name}: empty")
+    if isinstance(first, str):
+        raise RecordingError(f"{path}: no head: {first}")
+    head = msgspec.msgpack.decode(first, type=RecordingHead)
+    if head.version != VERSION:
+        raise RecordingError(f"{path}: version {head.version}, this program reads {VERSION}")
+    decoder: msgspec.msgpack.Decoder[Line] = msgspec.msgpack.Decoder(Line)
+    lines: list[Line] = []
+    for frame in frames:
+        if isinstance(frame, str):
+            return Recording(head, lines, frame)
+        lines.append(decoder.decode(frame))
+    return Recording(head, lines, "")
--- /dev/null
+++ b/quincepath/lab/emulator/rehearsal.py
@@ -0,0 +1,104 @@
+"""A rehearsal: a script run to its end, its record judged, its figures in one place."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import numpy as np
+
+from quincepath.lab.audit import Report, collect, judge
+from quincepath.lab.emulator.script import Script
+from quincepath.lab.emulator.troubles import Director
+from quincepath.lab.emulator.world import Emulation, MakeModule
+from quincepath.lab.record import Line, Said
+from quincepath.policy import Aggregator
+
+WINDOW = 10  # seconds of the worst stretch
+
+
+@dataclass(slots=True, frozen=True)
+class Outcome:
+    """What a rehearsal came to. Shares are of queries whole within the target; retries count to the first."""
+
+    report: Report
+    good: float
+    by_class: dict[str, float]
+    worst_window: float
+    answers: dict[str, int]
+    attempts_a_part: float
+    tries_a_query: float
+    median_s: float
+    p99_s: float
+    fell: list[str]
+    fullest: dict[str, float]  # cold holders: fullest window as a share of what makes them fall
+    down_most: int
+    bad_answers: int  # parts that holders failed or turned away
+    events: int
+
+    @property
+    def broken(self) -> bool:
+        """Whether a rule broke, or a holder fell over."""
+        return bool(self.report.findings or self.fell)
+
+    def figures(self) -> dict[str, Any]:
+        """The figures alone, rounded, for tables."""
+        return {
+            "good": round(self.good, 4),
+            "worst_10s": round(self.worst_window, 4),
+            "by_class": {name: round(share, 4) for name, share in self.by_class.items()},
+            "answers": self.answers,
+            "attempts_a_part": round(self.attempts_a_part, 4),
+            "tries_a_query": round(self.tries_a_query, 4),
+            "median_s": round(self.median_s, 4),
+            "p99_s": round(self.p99_s, 4),
+            "fell": self.fell,
+            "fullest_cold_window": round(max(self.fullest.values(), default=0.0), 3),
+            "down_most": self.down_most,
+            "bad_answers": self.bad_answers,
+            "findings": len(self.report.findings),
+        }
+
+
+def rehearse(
+    script: Script,
+    seed: int | None = None,
+    sink: Callable[[Line], None] | None = None,
+    make_module: MakeModule = Aggregator,
+    until: int | None = None,
+) -> Outcome:
+    """Run a script; ``sink`` gets each line as well. ``until``: stop after so many ns of the day."""
+    lines: list[Line] = []
+
+    def keep(line: Line) -> None:
+        lines.append(line)
+        if sink is not None:
+            sink(line)
+
+    world = Emulation(script, seed, keep, make_module)
+    Director(world)
+    tally = world.run(until)
+    report = judge(collect((f"line {number}", line) for number, line in enumerate(lines, 1)))
+    asked = sum(tally.asked.values())
+    seconds = sorted(tally.by_second) or [0]
+    worst = 1.0
+    for first in seconds:
+        inside = [tally.by_second[s] for s in range(first, first + WINDOW) if s in tally.by_second]
+        if first + WINDOW - 1 <= seconds[-1] or first == seconds[0]:
+            worst = min(worst, sum(g for _, g in inside) / max(sum(a for a, _ in inside), 1))
+    took = np.array(tally.took or [0.0])
+    return Outcome(
+        report=report,
+        good=sum(tally.good.values()) / max(asked, 1),
+        by_class={name: tally.good[name] / count for name, count in sorted(tally.asked.items())},
+        worst_window=worst,
+        answers=dict(sorted(tally.outcomes.items())),
+        attempts_a_part=tally.attempts / max(tally.parts, 1),
+        tries_a_query=tally.tries / max(asked, 1),
+        median_s=float(np.percentile(took, 50)),
+        p99_s=float(np.percentile(took, 99)),
+        fell=tally.fell,
+        fullest={name: s.margin for name, s in world.fleet.servers.items() if s.margin},
+        down_most=tally.down_most,
+        bad_answers=sum(isinstance(line, Said) and not line.good for line in lines),
+        events=tally.events,
+    )
--- /dev/null
+++ b/quincepath/lab/emulator/script.py
@@ -0,0 +1,150 @@
+"""Incident scripts: the fleet, the traffic and the troubles of a rehearsal, as YAML with checks."""
+
+from typing import Annotated, Literal
+
+from pydantic import Field, model_validator
+
+from quincepath.config.schema import MS, SECOND, LimitsEntry, Model, Name, RulesEntry
+from quincepath.config.values import Duration, Share
+
+KINDS = Literal[
+    "hang", "silence", "slow", "pauses", "lost_answers", "errors", "class_errors", "ageing", "restart",
+    "kill", "zone_loss", "list_late", "list_frozen", "deploy", "preemption", "flapping", "broker_stall",
+    "broker_crash", "burst", "heavy_tail", "poison", "slow_handshakes", "one_sided", "impatience",
+    "retry_storm", "slowdown", "drain",
+]  # fmt: skip
+Some = Annotated[list[Name], Field(min_length=1)] | Share
+
+
+class MachineKind(Model):
+    """A kind of machine; ``share`` of the holders are of it."""
+
+    name: Name = "std"
+    share: float = Field(1.0, gt=0)
+    cores: int = Field(2, ge=1, le=256)
+    speed: float = Field(1.0, gt=0)
+
+
+class FleetEntry(Model):
+    """Replica sets of holders that hold the same shards, spread over zones."""
+
+    sets: int = Field(3, ge=1, le=200)
+    replicas: int = Field(2, ge=1, le=10)
+    shards: int = Field(2, ge=1, le=50)  # of each set
+    zones: list[Name] = ["upper", "lower"]
+    kinds: list[MachineKind] = [MachineKind()]
+    room: int = Field(64, ge=1)
+    table: int = Field(1000, ge=1)
+    connect_work: Duration = 200_000
+    cold: Share = 0.2
+    ramp: Duration = 10 * SECOND
+    drop_cancelled: bool = True
+
+    @property
+    def holders(self) -> int:
+        """How many there are."""
+        return self.sets * self.replicas
+
+
+class TrafficClass(Model):
+    """A class of query and what its parts cost. ``parts`` is the least and most shards that it touches."""
+
+    name: Name
+    share: float = Field(gt=0)
+    parts: tuple[int, int] = (1, 4)
+    work: Duration
+    spread: float = Field(0.4, ge=0, le=3)  # of the work, as the sigma of a log-normal
+    target: Duration
+    deadline: Duration
+    need: Share = 1.0
+    floor: Share | None = None
+    late_worth: Share = 0.3
+    second_step: bool = False
+
+
+class Traffic(Model):
+    """Clients of all brokers together. ``rate`` is new queries a second."""
+
+    rate: float = Field(gt=0, le=20_000)
+    retries: int = Field(2, ge=0, le=10)
+    wait: Duration = 200 * MS  # before a retry, doubled each time
+    patience: tuple[float, float] = (0.6, 1.0)  # of the deadline, until a try is given up
+    honour: Share = 0.8  # of clients that keep to Retry-After
+
+
+class Network(Model):
+    """One way times; ``jitter`` is the mean of an exponential on top, as a share."""
+
+    same_zone: Duration = 200_000
+    cross_zone: Duration = MS
+    jitter: float = Field(0.2, ge=0)
+
+
+class Discovery(Model):
+    """How far each broker's list runs behind the truth: drawn between the two."""
+
+    lag: tuple[Duration, Duration] = (300 * MS, 900 * MS)
+
+
+class TroubleEntry(Model):
+    """One trouble. ``holders`` and ``brokers``: names, or a share drawn by the seed. What else counts depends
+    on the kind: ``share`` of jobs, answers or queries, ``times`` as long or as much, ``every`` how often."""
+
+    kind: KINDS
+    at: Duration
+    last: Duration = 5 * SECOND
+    holders: Some = 0.2
+    brokers: Some = 1.0
+    share: Share = 1.0
+    times: float = Field(4.0, gt=0)
+    every: Duration = 3 * SECOND
+    pause: Duration = 300 * MS
+    of_class: str | None = None
+    zone: str | None = None
+
+
+class Script(Model):
+    """A whole rehearsal."""
+
+    about: str
+    seed: int = 1
+    length: Duration = 30 * SECOND
+    brokers: int = Field(3, ge=1, le=200)
+    fleet: FleetEntry = FleetEntry()
+    traffic: Traffic
+    classes: list[TrafficClass] = Field(min_length=1)
+    network: Network = Network()
+    discovery: Discovery = Discovery()
+    limits: LimitsEntry = LimitsEntry()
+    rules: RulesEntry = RulesEntry()
+    troubles: list[TroubleEntry] = []
+
+    @model_validator(mode="after")
+    def _sound(self) -> "Script":
+        names = {entry.name for entry in self.classes}
+        holders, brokers = set(self.holder_names()), {f"broker{n}" for n in range(self.brokers)}
+        most = self.fleet.sets * self.fleet.shards
+        for entry in self.classes:
+            if not 1 <= entry.parts[0] <= entry.parts[1] <= most:
+                raise ValueError(f"class {entry.name!r}: expected 1 <= least <= most parts <= {most} shards")
+        for place, trouble in enumerate(self.troubles):
+            where = f"troubles[{place}] ({trouble.kind})"
+            for known, given in ((holders, trouble.holders), (brokers, trouble.brokers)):
+                if isinstance(given, list) and not set(given) <= known:
+                    unknown = ", ".join(sorted(set(given) - known))
+                    raise ValueError(f"{where}: no {unknown}; there are {', '.join(sorted(known)[:8])} ...")
+            if trouble.of_class is not None and trouble.of_class not in names:
+                raise ValueError(
+                    f"{where}: of_class {trouble.of_class!r}; there are {', '.join(sorted(names))}"
+                )
+            if trouble.kind == "zone_loss" and trouble.zone not in self.fleet.zones:
+                raise ValueError(f"{where}: zone {trouble.zone!r}; there are {', '.join(self.fleet.zones)}")
+            if trouble.kind in ("class_errors", "heavy_tail", "poison") and trouble.of_class is None:
+                raise ValueError(f"{where}: of_class is missing")
+            if trouble.at >= self.length:
+                raise ValueError(f"{where}: begins at or after the end")
+        return self
+
+    def holder_names(self) -> list[str]:
+        """``s0r0`` is the first replica of the first set."""
+        return [f"s{s}r{r}" for s in range(self.fleet.sets) for r in range(self.fleet.replicas)]
--- a/quincepath/lab/record.py
+++ b/quincepath/lab/record.py
@@ -55,6 +55,7 @@
     kind: str
     shards: list[int]
     patience: int
+    broker: int = 0
 
 
 class End(msgspec.Struct, tag="end", frozen=True):
@@ -89,6 +90,7 @@
     step: int
     attempt: int
     work: int
+    broker: int = 0
 
 
 class Said(msgspec.Struct, tag="said", frozen=True):
@@ -105,11 +107,21 @@
 
 
 class Told(msgspec.Struct, tag="told", frozen=True):
-    """News of a holder was put where brokers read it."""
+    """News of a holder was put where brokers read it; ``broker`` -1 is where all read it."""
 
     at: int
     holder: str
     phase: str
+    broker: int = -1
+
+
+class Halt(msgspec.Struct, tag="halt", frozen=True):
+    """A broker was stopped for a time, or killed, from outside: what it owed meanwhile it could not do."""
+
+    at: int
+    broker: int
+    until: int
+    killed: bool
 
 
 class Mark(msgspec.Struct, tag="mark", frozen=True):
@@ -119,7 +131,7 @@
     what: str
 
 
-Line = Head | ClassRules | Bounds | Ask | End | Up | Got | Said | Told | Mark
+Line = Head | ClassRules | Bounds | Ask | End | Up | Got | Said | Told | Halt | Mark
 _ENCODER = msgspec.json.Encoder()
 _DECODER: msgspec.json.Decoder[Line] = msgspec.json.Decoder(Line)
 
