--- a/quincepath/policy.py
+++ b/quincepath/policy.py
@@ -199,12 +199,27 @@
         self.taken: deque[int] = deque()
         self.extra: deque[int] = deque()
 
+    def take(self, now: int) -> None:
+        """A query or part was accepted. Guards against keeping all for ever where extras are seldom asked."""
+        if self.rules.budget_window:
+            self.taken.append(now)
+            self._drop_taken(now)
+
+    def spend(self, now: int) -> None:
+        """An attempt beyond a part's first goes out."""
+        if self.rules.budget_window:
+            self.extra.append(now)
+
+    def _drop_taken(self, now: int) -> None:
+        start = now - self.rules.budget_window
+        while self.taken and self.taken[0] <= start:  # drop early what we earn by, late what we spent
+            self.taken.popleft()
+
     def allows(self, now: int) -> bool:
         if not self.rules.budget_window:
             return True
         start = now - self.rules.budget_window
-        while self.taken and self.taken[0] <= start:  # drop early what we earn by, late what we spent
-            self.taken.popleft()
+        self._drop_taken(now)
         while self.extra and self.extra[0] < start:
             self.extra.popleft()
         return len(self.extra) + 1 <= self.rules.budget_free + self.rules.budget_ratio * len(self.taken)
@@ -391,7 +406,7 @@
     # --- queries ---
 
     def _accept(self, event: Query) -> QueryState:
-        self.budget.taken.append(self.now)
+        self.budget.take(self.now)
         spec = self.settings.classes[event.kind]
         end = self.now + max(event.time_left - ANSWER_TICKS * self.settings.tick, 0)
         query = QueryState(event, spec, self._aim(event, spec), end)
@@ -414,7 +429,7 @@
         return self._news(query.kind, query.step) > CROWDED * self._typical(query).base
 
     def _add_part(self, event: Part) -> QueryState | None:
-        self.budget.taken.append(self.now)
+        self.budget.take(self.now)
         query = self.by_number.get(event.number)
         if query is None:
             return None
@@ -679,7 +694,7 @@
 
     def _send(self, part: PartState, node: Node) -> None:
         if part.attempts:
-            self.budget.extra.append(self.now)
+            self.budget.spend(self.now)
         for other in self._replicas(part.shard):  # their ranks have changed
             self.ranks.pop(other.id, None)
         call = node.call
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -485,3 +485,15 @@
     ended = [a.id for a in broker.actions if isinstance(a, Answer | Refuse | Fail)]
     assert ended == rids
     assert len(broker.sends) == 4
+
+
+def test_the_attempt_budget_keeps_its_window_and_no_more() -> None:
+    """Accepted queries were kept for ever where no window was set, or no extra attempt was asked for."""
+    for window, most in ((0, 0), (SECOND, 300)):
+        broker = Broker(settings(rules={"budget_window": window, "budget_free": 5.0}))
+        for _ in range(300):
+            _, parts, _ = broker.query([0])
+            broker.end(parts[0])
+            broker.advance(10 * MS)
+        assert len(broker.policy.budget.taken) <= most
+        assert not broker.policy.budget.extra
