--- a/quincepath/cli/lab.py
+++ b/quincepath/cli/lab.py
@@ -22,6 +22,7 @@
 
 BAD_INPUT = 2
 FINDINGS_SHOWN = 20
+SECOND = 1_000_000_000
 
 
 def fail(lines: list[str]) -> None:
@@ -120,10 +121,31 @@
     Console(width=max(Console().width, 110)).print(table)
 
 
+class _Ears:
+    """Hears a rehearsal's lines: moves the bar, keeps and records them where wanted."""
+
+    def __init__(self, seconds: int, bar: Any, writer: RecordingWriter | None, keep: bool) -> None:
+        self.seconds, self.bar, self.writer, self.keep = seconds, bar, writer, keep
+        self.lines: list[Line] = []
+        self.seen = 0
+
+    def hear(self, line: Line) -> None:
+        """Take one line."""
+        if self.keep:
+            self.lines.append(line)
+        if self.writer is not None:
+            self.writer.write(line)
+        second = min((getattr(line, "at", 0) - BEGIN) // SECOND, self.seconds)
+        if second > self.seen:
+            self.bar.update(second - self.seen)
+            self.seen = second
+
+
 @click.command(name="rehearse")
 @click.argument("script", type=click.Path(path_type=Path))
 @click.option("--seed", type=int, help="Instead of the script's.")
 @click.option("--record", type=click.Path(path_type=Path), help="Keep a recording in this file.")
+@click.option("--report", type=click.Path(path_type=Path), help="Write a page with plots into this folder.")
 @click.option("--vs", type=click.Path(path_type=Path), help="Another script to compare with.")
 @click.option("--setting", multiple=True, help="path=value: compare with the script so changed.")
 @click.option("--json", "as_json", is_flag=True)
@@ -131,6 +153,7 @@
     script: Path,
     seed: int | None,
     record: Path | None,
+    report: Path | None,
     vs: Path | None,
     setting: tuple[str, ...],
     as_json: bool,
@@ -146,30 +169,24 @@
         except ConfigError as error:
             fail(error.lines)
     outcomes: dict[str, Outcome] = {}
+    kept: dict[str, list[Line]] = {}
     for name, one in jobs.items():
         writer = None
         if record is not None and one is plan:
             text = script.read_text(encoding="utf-8")
             chosen = plan.seed if seed is None else seed
             writer = RecordingWriter(record, text, chosen, version("quincepath"))
-        total = one.length // 1_000_000_000
-        with click.progressbar(length=total, label=name, file=sys.stderr) as bar:
-            seen = 0
-
-            def sink(
-                line: Line, writer: RecordingWriter | None = writer, bar: Any = bar, total: int = total
-            ) -> None:
-                nonlocal seen
-                if writer is not None:
-                    writer.write(line)
-                second = min((getattr(line, "at", 0) - BEGIN) // 1_000_000_000, total)
-                if second > seen:
-                    bar.update(second - seen)
-                    seen = second
-
-            outcomes[name] = rehearse(one, seed, sink)
+        with click.progressbar(length=one.length // SECOND, label=name, file=sys.stderr) as bar:
+            ears = _Ears(one.length // SECOND, bar, writer, report is not None)
+            outcomes[name] = rehearse(one, seed, ears.hear)
+        kept[name] = ears.lines
         if writer is not None:
             writer.close()
+    if report is not None:
+        from quincepath.lab.report import write  # the plotting library takes a second to load
+
+        write(report, plan, {name: (jobs[name], outcomes[name], kept[name]) for name in jobs})
+        click.echo(f"report: {report / 'index.html'}", err=True)
     if as_json:
         click.echo(json.dumps({name: outcome.figures() for name, outcome in outcomes.items()}))
     else:
--- a/quincepath/cli/main.py
+++ b/quincepath/cli/main.py
@@ -22,6 +22,7 @@
 from quincepath.lab.audit import audit as run_audit
 from quincepath.lab.day import DayScript, run_day
 from quincepath.lab.demo import demo_config, make_cluster
+from quincepath.lab.openloop import Mix, OpenLoop
 from quincepath.lab.record import Writer
 from quincepath.net.loop import READ, Loop
 from quincepath.observe.logs import setup
@@ -266,5 +267,69 @@
     sys.exit(1 if result.report.findings else 0)
 
 
+@main.command(name="load")
+@click.argument("url")
+@click.option("--query", "queries", multiple=True, required=True, help="[WEIGHT*]MATCHER[;MATCHER...]")
+@click.option("--rate", default=50.0, help="Queries a second, on average.")
+@click.option("--seconds", default=10.0)
+@click.option("--start", default=0, help="Milliseconds since the epoch.")
+@click.option("--end", type=int, help="Milliseconds since the epoch; now if left out.")
+@click.option("--timeout", default=10.0, help="Seconds until this client gives a query up.")
+@click.option("--most-open", default=1000, help="Open at once; what is due beyond is counted as unsent.")
+@click.option("--seed", default=1)
+@click.option("--json", "as_json", is_flag=True)
+def load_command(
+    url: str,
+    queries: tuple[str, ...],
+    rate: float,
+    seconds: float,
+    start: int,
+    end: int | None,
+    timeout: float,
+    most_open: int,
+    seed: int,
+    as_json: bool,
+) -> None:
+    """Send a load to a remote read address on this machine, open loop. Exit status 1 if nothing was answered.
+
+    A query is like 3*__name__=fuel_use_liters;district=~.+ with its weight in front.
+    """
+    host = urlsplit(url).hostname or ""
+    if host != "localhost" and not host.startswith("127."):
+        fail([f"{url}: expected an address of this machine (127.0.0.0/8): this tool loads nothing else"])
+    if not 0 < rate <= 100_000 or not 0 < seconds <= 3600:
+        fail([f"rate {rate}, seconds {seconds}: expected a rate up to 100000 and up to 3600 seconds"])
+    until = end if end is not None else int(time.time() * 1000)
+    mixes = []
+    for text in queries:
+        weight, sign, rest = text.partition("*")
+        try:
+            share = float(weight) if sign else 1.0
+        except ValueError:
+            share, rest = 1.0, text
+        matchers = tuple(parse_matcher(one) for one in (rest if sign else text).split(";"))
+        mixes.append(Mix(text, share, matchers, start, until, int(timeout * 1e9)))
+    loop = Loop()
+    load_run = OpenLoop(loop, url, mixes, rate, seconds, seed, most_open)
+    loop.run_until(load_run.done, seconds + timeout + 5)
+    load_run.client.close()
+    loop.close()
+    result = load_run.result
+    if as_json:
+        said = {"sent": result.sent, "unsent": result.unsent, "late_most_ms": result.late_most / 1e6}
+        click.echo(json.dumps({**said, "queries": result.rows()}))
+    else:
+        rows = result.rows()
+        columns = list(dict.fromkeys(key for row in rows for key in row))
+        table = Table(title=f"{result.sent} sent, {result.unsent} unsent")
+        for column in columns:
+            table.add_column(column, overflow="fold")
+        for row in rows:
+            table.add_row(*(str(row.get(column, "")) for column in columns))
+        Console(width=max(Console().width, 120)).print(table)
+    answered = sum(histogram.get_total_count() for histogram in result.times.values())
+    sys.exit(0 if answered else 1)
+
+
 for command in (rehearse_command, replay, hunt):
     main.add_command(command)
--- a/quincepath/lab/emulator/story.py
+++ b/quincepath/lab/emulator/story.py
@@ -76,7 +76,7 @@
                     f"{n.name} {n.load(now, kind)} out, {n.speed(now):.1f} times the usual"
                     for n in self.inner._replicas(self.ours[part]) if n is not known
                 )  # fmt: skip
-                said = f"sends shard {self.ours[part]} to {known.name} (load {known.load(now, kind)}"
+                said = f"sends shard {self.ours[part]} to {known.name} (with it {known.load(now, kind)} out"
                 self.tale.add(now, f"{said}; instead: {others or 'none'}), time-out {timeout / MS:.0f} ms")
             case Cancel(part, attempt) if part in self.ours:
                 self.tale.add(now, f"cancels shard {self.ours[part]} attempt {attempt}")
--- /dev/null
+++ b/tests/test_lab_commands.py
@@ -0,0 +1,172 @@
+"""The laboratory on the command line: reports, comparisons, recordings, the load tool, the fault search."""
+
+import json
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from quincepath.cli.main import main
+from quincepath.config.load import load, parse
+from quincepath.lab.emulator.hunt import Find, cut_down, draw, search
+from quincepath.lab.emulator.rehearsal import rehearse
+from quincepath.lab.emulator.script import Script
+from quincepath.lab.openloop import Mix, OpenLoop
+from quincepath.lab.record import Line
+from quincepath.lab.report import figure, page
+from quincepath.standins.data import END_MS
+from tests.world import MS, SECOND, World, ask
+
+ROOT = Path(__file__).parent.parent
+SCRIPT = """\
+about: one <holder> hangs
+length: 4s
+brokers: 2
+fleet: {sets: 2, replicas: 2, shards: 1}
+traffic: {rate: 30}
+classes:
+  - {name: a, share: 1, parts: [1, 2], work: 10ms, target: 500ms, deadline: 1s}
+troubles:
+  - {kind: hang, at: 1s, last: 1s, holders: [s0r0]}
+  - {kind: restart, at: 2s, last: 500ms, holders: [s1r0]}
+"""
+
+
+@pytest.fixture
+def script(tmp_path: Path) -> Path:
+    path = tmp_path / "one.yaml"
+    path.write_text(SCRIPT)
+    return path
+
+
+def run(*words: str) -> tuple[int, str, str]:
+    result = CliRunner().invoke(main, list(words))
+    assert result.exception is None or isinstance(result.exception, SystemExit), result.exception
+    return result.exit_code, result.stdout, result.stderr
+
+
+def test_rehearse_compares_a_setting_and_writes_a_page_on_its_own(script: Path, tmp_path: Path) -> None:
+    code, out, _ = run("rehearse", str(script), "--json", "--setting", "traffic.rate=60",
+                       "--report", str(tmp_path / "r"))  # fmt: skip
+    assert code == 0
+    figures = json.loads(out)
+    asked = [sum(one["answers"].values()) for one in figures.values()]
+    assert list(figures) == ["one.yaml", "traffic.rate=60"] and asked[1] > 1.5 * asked[0]
+    text = (tmp_path / "r" / "index.html").read_text()
+    assert "one &lt;holder&gt; hangs" in text and "simulated" in text
+    assert "<script src=" not in text and "cdn" not in text[:2000]
+
+
+def test_page_shows_troubles_starts_and_every_holder(script: Path) -> None:
+    plan = load(script, Script)
+    lines: list[Line] = []
+    outcome = rehearse(plan, None, lines.append)
+    drawn = figure(plan, lines)
+    heat = next(trace for trace in drawn.data if trace.type == "heatmap")
+    assert list(heat.y) == plan.holder_names()
+    stars = next(trace for trace in drawn.data if trace.name == "started cold")
+    assert list(stars.y) == ["s1r0"] and 2.4 < stars.x[0] < 2.6
+    assert {note.text for note in drawn.layout.annotations} >= {"hang", "restart"}
+    share = next(trace for trace in drawn.data if trace.name == "a")
+    assert all(0 <= one <= 1 for one in share.y if one == one)
+    assert "No rule broke" in page(plan, {"x": (plan, outcome, lines)})
+
+
+@pytest.mark.parametrize(
+    ("setting", "wanted"),
+    [
+        ("traffic.rat=1", "expected path=value with a path of the script"),
+        ("traffic", "expected path=value"),
+        ("traffic.rate=-1", "traffic.rate is -1"),
+        ("fleet.ramp=soon", "expected a duration"),
+    ],
+)
+def test_wrong_settings_are_named(script: Path, setting: str, wanted: str) -> None:
+    code, _, err = run("rehearse", str(script), "--setting", setting)
+    assert code == 2 and wanted in err
+
+
+def test_recording_and_replay_from_the_command_line(script: Path, tmp_path: Path) -> None:
+    kept = tmp_path / "x.qprec"
+    assert run("rehearse", str(script), "--record", str(kept))[0] == 0
+    code, out, _ = run("replay", str(kept))
+    assert code == 0 and "ask" in out and "made by" in out
+    code, out, _ = run("replay", str(kept), "--query", "c5.0")
+    assert code == 0 and "client asks" in out and "client hears" in out
+    assert run("replay", str(kept), "--query", "nobody")[0] == 2
+    assert run("replay", str(kept), "--at", "later")[0] == 2
+    assert run("replay", str(script))[0] == 2
+    kept.write_bytes(kept.read_bytes()[:-7])
+    code, out, err = run("replay", str(kept))
+    assert code == 0 and "cut inside frame" in err
+
+
+def test_every_example_names_staff_and_loads() -> None:
+    for path in (ROOT / "examples" / "incidents").glob("*.yaml"):
+        assert "taff should see" in load(path, Script).about.replace("\n", " "), path
+
+
+def test_drawn_days_are_the_same_by_number_and_differ_between() -> None:
+    assert draw(3) == draw(3) != draw(4)
+    sizes = [draw(n, large=True) for n in range(5)]
+    assert all(80 <= one.fleet.holders <= 110 and 23 <= one.brokers <= 32 for one in sizes)
+
+
+def test_the_search_cuts_a_find_down_to_the_trouble_that_matters() -> None:
+    script = parse(SCRIPT, Script, "s").model_copy(update={"length": 5 * SECOND})
+    values = script.model_dump()["troubles"]
+    harmless = [{**values[0], "kind": "drain"}, {**values[0], "kind": "list_late"}]
+    fatal = {**values[0], "kind": "kill", "holders": ["s0r0", "s0r1"], "last": 3 * SECOND}
+    entries = [type(script.troubles[0]).model_construct(**one) for one in (harmless[0], fatal, harmless[1])]
+    whole = script.model_copy(update={"troubles": entries})
+    find = Find(0, whole, rehearse(whole))
+    assert find.badness() > 0.1
+    assert [one.kind for one in cut_down(find).script.troubles] == ["kill"]
+
+
+def test_a_few_drawn_days_break_no_rule() -> None:
+    for find in search(range(6)):
+        assert not find.outcome.broken, (find.number, [str(f) for f in find.outcome.report.findings[:3]])
+
+
+def mixes() -> list[Mix]:
+    matchers = tuple(ask("hours-report").queries[0].matchers)
+    return [Mix("reports", 1.0, matchers, END_MS - 60_000, END_MS, 2 * SECOND)]
+
+
+def test_load_is_sent_when_it_is_due_and_a_stall_is_not_left_out(tmp_path: Path) -> None:
+    world = World(tmp_path)
+    load_run = OpenLoop(world.loop, world.broker.url, mixes(), 50, 3, 1, 100)
+    world.run(1)
+    world.loop.at += SECOND  # everything stands still for a second: what was due meanwhile waited for it
+    world.until(load_run.done)
+    result = load_run.result
+    row = result.rows()[0]
+    assert result.sent == len(load_run.schedule) > 100 and result.unsent == 0
+    assert row["max_ms"] > 900 and row["p50_ms"] < 400
+    assert result.late_most > 900 * MS
+    world.close()
+
+
+def test_load_beyond_the_bound_is_counted_not_dropped(tmp_path: Path) -> None:
+    world = World(tmp_path)
+    world.faults("a0 a1 b0 b1 c0 c1", fault="hang")
+    load_run = OpenLoop(world.loop, world.broker.url, mixes(), 100, 1, 1, 10)
+    world.until(load_run.done)
+    outcomes = load_run.result.outcomes["reports"]
+    assert outcomes["unsent"] == load_run.result.unsent > 10
+    assert sum(outcomes.values()) == len(load_run.schedule)
+    world.close()
+
+
+@pytest.mark.parametrize(
+    ("words", "wanted"),
+    [
+        (["http://192.0.2.1:80/x", "--query", "a=b"], "expected an address of this machine"),
+        (["http://127.0.0.1:1/x", "--query", "nonsense"], "expected LABEL=VALUE"),
+        (["http://127.0.0.1:1/x", "--query", "a=b", "--rate", "0"], "expected a rate"),
+    ],
+)
+def test_load_refuses_what_it_must_not_do(words: list[str], wanted: str) -> None:
+    code, _, err = run("load", *words)
+    assert code == 2 and wanted in err
