--- a/quincepath/cli/lab.py
+++ b/quincepath/cli/lab.py
@@ -12,6 +12,7 @@
 
 from quincepath.config.load import ConfigError, load, parse
 from quincepath.config.values import parse_duration
+from quincepath.lab.emulator.from_day import from_day
 from quincepath.lab.emulator.hunt import Find, cut_down, search
 from quincepath.lab.emulator.recording import RecordingError, RecordingWriter, read_recording
 from quincepath.lab.emulator.rehearsal import Outcome, rehearse
@@ -32,9 +33,14 @@
     sys.exit(BAD_INPUT)
 
 
-def _script(path: Path) -> Script:
+def _script(path: Path, is_day: bool = False) -> Script:
     try:
-        return load(path, Script)
+        if not is_day:
+            return load(path, Script)
+        found = from_day(path)
+        for note in found.notes:
+            click.echo(f"{path.name}: {note}", err=True)
+        return found.script
     except ConfigError as error:
         fail(error.lines)
         raise AssertionError from None
@@ -42,8 +48,7 @@
 
 def with_settings(script: Script, settings: tuple[str, ...]) -> Script:
     """The script with ``path=value`` changes, checked as a whole. Raises ``ConfigError``."""
-    values: dict[str, Any] = script.model_dump(mode="json")
-    _durations_back(values)
+    values = _plain(script)
     for setting in settings:
         path, sign, value = setting.partition("=")
         node: Any = values
@@ -61,6 +66,13 @@
     return parse(json.dumps(values), Script, "--setting")
 
 
+def _plain(script: Script) -> dict[str, Any]:
+    """The script as a file would hold it."""
+    values: dict[str, Any] = script.model_dump(mode="json")
+    _durations_back(values)
+    return values
+
+
 def _is_json(text: str) -> bool:
     try:
         json.loads(text)
@@ -149,6 +161,7 @@
 @click.option("--vs", type=click.Path(path_type=Path), help="Another script to compare with.")
 @click.option("--setting", multiple=True, help="path=value: compare with the script so changed.")
 @click.option("--json", "as_json", is_flag=True)
+@click.option("--from-day", "is_day", is_flag=True, help="SCRIPT is a drawn day of the operators' bench.")
 def rehearse_command(
     script: Path,
     seed: int | None,
@@ -157,9 +170,10 @@
     vs: Path | None,
     setting: tuple[str, ...],
     as_json: bool,
+    is_day: bool,
 ) -> None:
     """Play an incident in virtual time. Exit status 1 if a rule broke or a holder fell over."""
-    plan = _script(script)
+    plan = _script(script, is_day)
     jobs = {script.name: plan}
     if vs is not None:
         jobs[vs.name] = _script(vs)
@@ -173,7 +187,7 @@
     for name, one in jobs.items():
         writer = None
         if record is not None and one is plan:
-            text = script.read_text(encoding="utf-8")
+            text = json.dumps(_plain(plan)) if is_day else script.read_text(encoding="utf-8")
             chosen = plan.seed if seed is None else seed
             writer = RecordingWriter(record, text, chosen, version("quincepath"))
         with click.progressbar(length=one.length // SECOND, label=name, file=sys.stderr) as bar:
--- a/quincepath/lab/openloop.py
+++ b/quincepath/lab/openloop.py
@@ -43,7 +43,7 @@
 
 @dataclass(slots=True)
 class Result:
-    """What came of a load, by kind of query. ``late_most``: how far behind its schedule this client got (ns)."""
+    """What came of a load, by kind of query. ``late_most``: how far it fell behind its schedule (ns)."""
 
     times: dict[str, HdrHistogram] = field(default_factory=dict)
     outcomes: dict[str, Counter[str]] = field(default_factory=dict)
--- a/tests/test_lab_commands.py
+++ b/tests/test_lab_commands.py
@@ -8,6 +8,7 @@
 
 from quincepath.cli.main import main
 from quincepath.config.load import load, parse
+from quincepath.lab.emulator.from_day import from_day
 from quincepath.lab.emulator.hunt import Find, cut_down, draw, search
 from quincepath.lab.emulator.rehearsal import rehearse
 from quincepath.lab.emulator.script import Script
@@ -170,3 +171,60 @@
 def test_load_refuses_what_it_must_not_do(words: list[str], wanted: str) -> None:
     code, _, err = run("load", *words)
     assert code == 2 and wanted in err
+
+
+DAY = {
+    "site": "somewhere", "kind": "trouble", "family": "fanout", "noise": 5, "length": 4_000_000,
+    "zones": ["up", "low"], "drain_grace": 500_000, "fall_multiple": 2.0, "fall_for": 2_000_000,
+    "net": {"same": 200.0, "cross": 900.0},
+    "traffic": {"load": 0.3},
+    "clients": {"retries": 1, "backoff_us": 100_000, "honour": 0.5},
+    "discovery": {"notice": 500_000},
+    "allow": {"max_attempts": 3, "second_copies": True},
+    "classes": [
+        {"name": "a", "share": 1.0, "work": 50_000.0, "cv": 0.3, "aim": 1_000_000, "deadline": 2_000_000,
+         "late_worth": 0.1, "effect": "keyed"},
+    ],
+    "tiers": [{"kinds": [{"name": "m", "cores": 2, "cold_from": 0.3, "cold": 3_000_000}]}],
+    "servers": [{"cell": cell} for cell in (0, 1, 0, 1, 1)],
+    "balancers": [{}, {}],
+    "fam": {"cells": 2, "shards": 4, "reach": 1, "capacity": 8.0,
+            "asks": [{"parts": 3, "need": 0.6, "floor": 0.6, "fetch": 0}]},
+    "troubles": [
+        {"kind": "slow", "at": 1_000_000, "len": 500_000, "size": 4.0, "on": [2], "which": 0},
+        {"kind": "class_fail", "at": 1_000_000, "len": 500_000, "size": 0.5, "on": [1, 4], "which": 0,
+         "how": "silence"},
+        {"kind": "discovery_stale", "at": 1_000_000, "len": 500_000, "size": 2.0, "on": [], "which": 0},
+        {"kind": "preempt", "at": 2_000_000, "len": 500_000, "size": 1.0, "on": [], "which": 0},
+    ],
+}  # fmt: skip
+
+
+def test_a_day_of_the_bench_is_mapped_and_what_has_no_counterpart_is_named(tmp_path: Path) -> None:
+    path = tmp_path / "day.json"
+    path.write_text(json.dumps(DAY))
+    found = from_day(path)
+    script = found.script
+    assert (script.brokers, script.fleet.holders, script.classes[0].parts) == (2, 4, (3, 3))
+    kinds = [(entry.kind, entry.holders, entry.times, entry.share) for entry in script.troubles]
+    assert kinds[0] == ("slow", ["s0r1"], 4.0, 1.0)
+    assert kinds[1] == ("class_errors", ["s1r0"], 4.0, 0.5)
+    assert (kinds[2][0], kinds[2][2]) == ("list_late", 5.0)
+    notes = "\n".join(found.notes)
+    for piece in (
+        "preempt at 2.0 s has no counterpart",
+        "1 servers beyond 2 a cell",
+        "keyed",
+        "in silence there",
+    ):
+        assert piece in notes
+    code, _, err = run("rehearse", str(path), "--from-day", "--json")
+    assert code == 0 and "no counterpart" in err
+
+
+@pytest.mark.parametrize("text", ["{", "{}", '{"family": "fanout"}', json.dumps({**DAY, "family": "ring"})])
+def test_what_is_not_a_day_is_told(tmp_path: Path, text: str) -> None:
+    path = tmp_path / "day.json"
+    path.write_text(text)
+    code, _, err = run("rehearse", str(path), "--from-day")
+    assert code == 2 and "day.json" in err
