--- a/quincepath/cli/lab.py
+++ b/quincepath/cli/lab.py
@@ -2,6 +2,7 @@
 
 import json
 import sys
+import tempfile
 from importlib.metadata import version
 from pathlib import Path
 from typing import Any
@@ -17,6 +18,7 @@
 from quincepath.lab.emulator.recording import RecordingError, RecordingWriter, read_recording
 from quincepath.lab.emulator.rehearsal import Outcome, rehearse
 from quincepath.lab.emulator.script import Script
+from quincepath.lab.emulator.sockets import NotOnSockets, SocketRun
 from quincepath.lab.emulator.story import StoryError, tell
 from quincepath.lab.emulator.world import BEGIN
 from quincepath.lab.record import Line
@@ -133,6 +135,18 @@
     Console(width=max(Console().width, 110)).print(table)
 
 
+def _on_sockets(plan: Script, seed: int | None, as_json: bool) -> None:
+    """Play over loopback, say what came of it and end."""
+    with tempfile.TemporaryDirectory(prefix="quincepath-rehearse-") as folder:
+        try:
+            figures = SocketRun(plan, plan.seed if seed is None else seed, Path(folder)).play()
+        except NotOnSockets as error:
+            fail([str(error)])
+            return
+    click.echo(json.dumps(figures, indent=None if as_json else 1))
+    sys.exit(1 if figures["findings"] else 0)
+
+
 class _Ears:
     """Hears a rehearsal's lines: moves the bar, keeps and records them where wanted."""
 
@@ -162,6 +176,7 @@
 @click.option("--setting", multiple=True, help="path=value: compare with the script so changed.")
 @click.option("--json", "as_json", is_flag=True)
 @click.option("--from-day", "is_day", is_flag=True, help="SCRIPT is a drawn day of the operators' bench.")
+@click.option("--sockets", is_flag=True, help="Over loopback, in real time.")
 def rehearse_command(
     script: Path,
     seed: int | None,
@@ -171,9 +186,12 @@
     setting: tuple[str, ...],
     as_json: bool,
     is_day: bool,
+    sockets: bool,
 ) -> None:
     """Play an incident in virtual time. Exit status 1 if a rule broke or a holder fell over."""
     plan = _script(script, is_day)
+    if sockets:
+        _on_sockets(plan, seed, as_json)
     jobs = {script.name: plan}
     if vs is not None:
         jobs[vs.name] = _script(vs)
--- a/quincepath/cli/main.py
+++ b/quincepath/cli/main.py
@@ -26,7 +26,7 @@
 from quincepath.lab.record import Writer
 from quincepath.net.loop import READ, Loop
 from quincepath.observe.logs import setup
-from quincepath.standins.data import LABEL, Store
+from quincepath.standins.data import LABEL, METRICS, Store
 from quincepath.standins.leaf import Leaf, Service
 
 SIGNS = {"=~": LabelMatcher.RE, "!~": LabelMatcher.NRE, "!=": LabelMatcher.NEQ, "=": LabelMatcher.EQ}
@@ -106,16 +106,39 @@
 @click.option("--cores", default=2)
 @click.option("--cold", default=1.0, help="Share of its capacity at the start; 1 is warm.")
 @click.option("--ramp-s", default=10.0)
+@click.option("--spread", default=0.0, help="Of the work of parts, as the sigma of a log-normal.")
+@click.option("--works", default="", help="METRIC=MS,...: metrics served, and the work of a part of each.")
+@click.option("--fall-multiple", default=2.0, help="Pushed past this while cold, it falls over.")
 @click.option("--record", type=click.Path(path_type=Path))
 @click.option("--guarded", is_flag=True, help="End when standard input closes: no child outlives its parent.")
 def leaf(
-    name: str, port: int, districts: str, seed: int, tractors: int, work_ms: float, cores: int, cold: float,
-    ramp_s: float, record: Path | None, guarded: bool,
-) -> None:  # fmt: skip
+    name: str,
+    port: int,
+    districts: str,
+    seed: int,
+    tractors: int,
+    work_ms: float,
+    cores: int,
+    cold: float,
+    ramp_s: float,
+    spread: float,
+    works: str,
+    fall_multiple: float,
+    record: Path | None,
+    guarded: bool,
+) -> None:
     """Run a stand-in holder with seeded data."""
     loop = Loop()
-    store = Store(seed, districts.split(","), tractors)
-    service = Service(int(work_ms * 1e6), cores, 64, cold, int(ramp_s * 1e9))
+    by_metric: dict[str, int] = {}
+    try:
+        for word in filter(None, works.split(",")):
+            metric, _, ms = word.partition("=")
+            by_metric[metric] = int(float(ms) * 1e6)
+    except ValueError:
+        fail([f"--works {works!r}: expected METRIC=MS,..."])
+    store = Store(seed, districts.split(","), tractors, tuple(by_metric) or METRICS)
+    ramp = int(ramp_s * 1e9)
+    service = Service(int(work_ms * 1e6), cores, 64, cold, ramp, spread, by_metric, fall_multiple)
     holder = Leaf(loop, name, store, service, Writer(record, name) if record else None, port)
     click.echo(json.dumps({"name": name, "port": holder.port, "url": holder.url}))
     sys.stdout.flush()
--- a/quincepath/lab/cluster.py
+++ b/quincepath/lab/cluster.py
@@ -1,6 +1,7 @@
 """Holders as processes on loopback, and a roster file about them: for the demo and for scripted days."""
 
 import json
+import selectors
 import subprocess
 import sys
 import time
@@ -50,6 +51,13 @@
             words += ["--record", str(self.record)]
         self.process = subprocess.Popen(words, stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
 
+    def ready(self) -> bool:
+        """Whether it has said that it serves, without waiting."""
+        assert self.process is not None and self.process.stdout is not None
+        with selectors.DefaultSelector() as selector:
+            selector.register(self.process.stdout, selectors.EVENT_READ)
+            return bool(selector.select(0))
+
     def wait(self) -> None:
         """Until it serves. Raises ``StartError``."""
         assert self.process is not None and self.process.stdout is not None
--- /dev/null
+++ b/quincepath/lab/emulator/chance.py
@@ -0,0 +1,61 @@
+"""Named sources of chance, and the queries that clients draw: the same in virtual time and on sockets."""
+
+import zlib
+from dataclasses import dataclass
+
+import numpy as np
+
+from quincepath.lab.emulator.script import TrafficClass
+
+BLOCK = 1024
+
+
+class Source:
+    """A named source of chance: floats below 1, drawn ahead in blocks."""
+
+    def __init__(self, seed: int, name: str) -> None:
+        self.generator = np.random.default_rng([seed, zlib.crc32(name.encode())])
+        self._block: list[float] = []
+
+    def __call__(self) -> float:
+        if not self._block:
+            self._block = self.generator.random(BLOCK).tolist()
+        return self._block.pop()
+
+    def between(self, low: float, high: float) -> float:
+        """Uniform."""
+        return low + (high - low) * self()
+
+    def pick(self, items: list[str], chosen: list[str] | float) -> list[str]:
+        """The named ones, or a share of all, at least one."""
+        if isinstance(chosen, list):
+            return chosen
+        count = max(round(chosen * len(items)), 1)
+        return sorted(self.generator.permutation(items)[:count].tolist())
+
+
+@dataclass(slots=True, frozen=True)
+class Drawn:
+    """One client's query: the position of its class, the shards that it touches."""
+
+    kind: int
+    shards: list[int]
+
+
+def draw_query(draw: Source, classes: list[TrafficClass], shards: int) -> Drawn:
+    """A query by the classes' shares, at shards in a row."""
+    left, kind = draw() * sum(entry.share for entry in classes), 0
+    while left >= classes[kind].share and kind < len(classes) - 1:
+        left -= classes[kind].share
+        kind += 1
+    entry = classes[kind]
+    count = entry.parts[0] + int(draw() * (entry.parts[1] - entry.parts[0] + 1))
+    first = int(draw() * shards)
+    return Drawn(kind, sorted((first + i) % shards for i in range(count)))
+
+
+def part_work(generator: np.random.Generator, entry: TrafficClass, count: int) -> list[float]:
+    """Work (ns) of the parts of one query: log-normal around the class's mean."""
+    normal = generator.standard_normal(count)
+    spread = entry.spread
+    return [float(entry.work * np.exp(spread * n - spread * spread / 2)) for n in normal]
--- a/quincepath/lab/load.py
+++ b/quincepath/lab/load.py
@@ -27,6 +27,7 @@
     body: bytes
     request: ReadRequest
     patience: int  # ns
+    headers: dict[str, str] = field(default_factory=dict)
 
 
 @dataclass(slots=True, frozen=True)
@@ -125,7 +126,7 @@
             return
         line = found
         line.done = lambda response: end(response.status if response else 0, response)
-        headers = {**HEADERS, **VERSION_HEADER, "X-Request-Id": name}
+        headers = {**HEADERS, **VERSION_HEADER, "X-Request-Id": name, **plan.headers}
         assert line.stream is not None
         line.stream.write(request_bytes("POST", self.path, "broker", headers, plan.body))
 
--- a/tests/test_lab_commands.py
+++ b/tests/test_lab_commands.py
@@ -12,8 +12,9 @@
 from quincepath.lab.emulator.hunt import Find, cut_down, draw, search
 from quincepath.lab.emulator.rehearsal import rehearse
 from quincepath.lab.emulator.script import Script
+from quincepath.lab.emulator.sockets import SocketRun
 from quincepath.lab.openloop import Mix, OpenLoop
-from quincepath.lab.record import Line
+from quincepath.lab.record import Ask, Line, Mark, read
 from quincepath.lab.report import figure, page
 from quincepath.standins.data import END_MS
 from tests.world import MS, SECOND, World, ask
@@ -228,3 +229,26 @@
     path.write_text(text)
     code, _, err = run("rehearse", str(path), "--from-day")
     assert code == 2 and "day.json" in err
+
+
+def test_the_same_script_runs_over_sockets_and_asks_the_same_queries(tmp_path: Path) -> None:
+    script = parse(SCRIPT, Script, "s")
+    figures = SocketRun(script, script.seed, tmp_path).play()
+    assert figures["findings"] == []
+    lines: list[Line] = []
+    rehearse(script, None, lines.append)
+    virtual = [
+        (one.query, one.kind, one.shards) for one in lines if isinstance(one, Ask) and one.query[-1] == "0"
+    ]
+    kept = [line for _, line in read(tmp_path / "clients.jsonl")]
+    sockets = [
+        (one.query, one.kind, one.shards) for one in kept if isinstance(one, Ask) and one.query[-1] == "0"
+    ]
+    assert sorted(virtual) == sorted(sockets) and len(virtual) > 80
+    assert [one.what for one in kept if isinstance(one, Mark)] == ["begins: hang", "begins: restart"]
+
+
+def test_troubles_that_sockets_cannot_have_are_refused_by_name(script: Path) -> None:
+    script.write_text(SCRIPT.replace("kind: hang", "kind: one_sided"))
+    code, _, err = run("rehearse", str(script), "--sockets")
+    assert code == 2 and "not on sockets: one_sided; there are burst, drain" in err
