How near each limit was come to; retries in the load tool; more troubles over sockets

The audit keeps, for each rule, the share of its limit that was used (client's time, grace after news, a cold holder's window, attempts and their budget), on the command line, in figures and in reports. The load tool asks again under the same id, marked as a retry, its time counted from when the query was due.

--- a/quincepath/cli/main.py
+++ b/quincepath/cli/main.py
@@ -268,6 +268,8 @@
         click.echo(str(finding))
     said = ", ".join(f"{count} {kind}" for kind, count in report.ended.items())
     click.echo(f"{report.queries} queries ({said}), {report.parts_got} parts seen at holders")
+    for name, share in report.margins.items():
+        click.echo(f"rule {name}: {share:.2f} of its limit used")
     click.echo(f"{len(report.findings)} findings" if report.findings else "no rule broken")
     sys.exit(1 if report.findings else 0)
 
@@ -299,6 +301,7 @@
 @click.option("--end", type=int, help="Milliseconds since the epoch; now if left out.")
 @click.option("--timeout", default=10.0, help="Seconds until this client gives a query up.")
 @click.option("--most-open", default=1000, help="Open at once; what is due beyond is counted as unsent.")
+@click.option("--retries", default=0, help="By which a query that was not answered is asked again, marked.")
 @click.option("--seed", default=1)
 @click.option("--json", "as_json", is_flag=True)
 def load_command(
@@ -310,6 +313,7 @@
     end: int | None,
     timeout: float,
     most_open: int,
+    retries: int,
     seed: int,
     as_json: bool,
 ) -> None:
@@ -333,13 +337,18 @@
         matchers = tuple(parse_matcher(one) for one in (rest if sign else text).split(";"))
         mixes.append(Mix(text, share, matchers, start, until, int(timeout * 1e9)))
     loop = Loop()
-    load_run = OpenLoop(loop, url, mixes, rate, seconds, seed, most_open)
+    load_run = OpenLoop(loop, url, mixes, rate, seconds, seed, most_open, retries)
     loop.run_until(load_run.done, seconds + timeout + 5)
     load_run.client.close()
     loop.close()
     result = load_run.result
     if as_json:
-        said = {"sent": result.sent, "unsent": result.unsent, "late_most_ms": result.late_most / 1e6}
+        said = {
+            "sent": result.sent,
+            "unsent": result.unsent,
+            "retried": result.retried,
+            "late_most_ms": result.late_most / 1e6,
+        }
         click.echo(json.dumps({**said, "queries": result.rows()}))
     else:
         rows = result.rows()
--- a/quincepath/lab/audit.py
+++ b/quincepath/lab/audit.py
@@ -72,6 +72,11 @@
     told: list[Seen[Told]] = field(default_factory=list)
     halts: list[Halt] = field(default_factory=list)
     findings: list[Finding] = field(default_factory=list)
+    peaks: dict[str, float] = field(default_factory=dict)
+
+    def peak(self, name: str, value: float) -> None:
+        """How near a rule's limit was come to: 1 is the limit."""
+        self.peaks[name] = max(self.peaks.get(name, 0.0), value)
 
 
 @dataclass(slots=True, frozen=True)
@@ -82,6 +87,7 @@
     queries: int
     ended: dict[str, int]
     parts_got: int
+    margins: dict[str, float] = field(default_factory=dict)  # by rule, the share of its limit that was used
 
 
 def collect(lines: Iterable[tuple[str, Line]]) -> Book:
@@ -145,7 +151,8 @@
     for ends in book.ends.values():
         for seen in ends:
             ended[_kind_of(seen.line)] += 1
-    return Report(found, len(book.asks), dict(sorted(ended.items())), len(book.got))
+    margins = dict(sorted(book.peaks.items()))
+    return Report(found, len(book.asks), dict(sorted(ended.items())), len(book.got), margins)
 
 
 def _kind_of(end: End) -> str:
@@ -167,6 +174,8 @@
             add(Finding(1, ask.at, seen.where, f"query {query} has no end"))
         for end in answers[:1]:
             ends[query] = end.line.at
+            if end.line.status > 0 and not _excused(book, ask, end.line.at, bounds):
+                book.peak("1: client's time", (end.line.at - ask.at) / ask.patience)
             if end.line.status <= 0 and not _excused(book, ask, end.line.at, bounds):
                 said = "the connection was lost" if end.line.status == 0 else "the client gave up waiting"
                 add(Finding(1, end.line.at, end.where, f"query {query} has no final answer: {said}"))
@@ -240,6 +249,7 @@
         while first and mine[first - 1].line.phase != "ready":
             first -= 1
         late = got.line.at - mine[first].line.at - bounds.notice - bounds.drain_grace
+        book.peak("3: grace after news", 1 + late / bounds.drain_grace)
         if late > bounds.slack:
             what = (
                 f"query {got.line.query} reached {got.line.holder} {late / 1e6:.0f} ms past the grace "
@@ -273,6 +283,8 @@
             informed = sum(
                 g.line.work for g in within if g.line.at >= known.get(-1, known.get(g.line.broker, FAR))
             )
+            if informed >= INFORMED_SHARE * work:
+                book.peak("4: window of a cold holder", work / most)
             if work > most and informed >= INFORMED_SHARE * work:
                 what = f"{up.holder}, cold, was sent {work / most:.2f} times the most of a window"
                 book.findings.append(Finding(4, start, got.where, what))
@@ -345,6 +357,7 @@
         if line.query not in book.asks:
             continue
         key = line.query, line.shard, line.step
+        book.peak("6: attempts of a part", (tries[key] + 1) / bounds.attempts)
         extra, taken = extras[line.broker], takens[line.broker]
         tries[key] += 1
         if line.step > 1 and (line.query, line.shard) not in second:
@@ -360,6 +373,7 @@
         since = bisect_left(taken, line.at - bounds.budget_window - bounds.slack)
         earned = bisect_right(taken, line.at + bounds.slack) - since
         most = bounds.budget_free + bounds.budget_ratio * earned
+        book.peak("6: extra attempts", inside / most if most else float(inside > 0))
         if inside > most:
             what = f"{inside} extra attempts in a window where {most:.1f} are allowed"
             book.findings.append(Finding(6, line.at, got.where, what))
--- a/quincepath/lab/emulator/rehearsal.py
+++ b/quincepath/lab/emulator/rehearsal.py
@@ -56,6 +56,7 @@
             "down_most": self.down_most,
             "bad_answers": self.bad_answers,
             "findings": len(self.report.findings),
+            "used_of_limits": {name: round(share, 3) for name, share in self.report.margins.items()},
         }
 
 
--- a/quincepath/lab/emulator/sockets.py
+++ b/quincepath/lab/emulator/sockets.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import signal
 import subprocess
 import sys
 import time
@@ -23,7 +24,7 @@
 from quincepath.lab.emulator.chance import Source, draw_query
 from quincepath.lab.emulator.script import Script, TroubleEntry
 from quincepath.lab.load import Client, QueryPlan, Seen
-from quincepath.lab.record import Bounds, ClassRules, Mark, Writer
+from quincepath.lab.record import Bounds, ClassRules, Halt, Mark, Writer
 from quincepath.net.loop import Loop
 from quincepath.standins.data import END_MS, STEP_MS
 from quincepath.standins.leaf import Faults
@@ -40,7 +41,8 @@
     "lost_answers": lambda entry: Faults(lose=entry.share),
     "preemption": lambda entry: Faults(steal=min(entry.share, 0.95)),
 }
-SUPPORTED = {*FAULTS, "kill", "restart", "drain", "burst"}
+CLIENTS = {"burst", "impatience", "retry_storm"}
+SUPPORTED = {*FAULTS, *CLIENTS, "kill", "restart", "drain", "pauses", "broker_stall"}
 BROKER = [sys.executable, "-m", "quincepath", "--log-level", "error", "serve", "-c"]
 
 
@@ -67,7 +69,8 @@
         self.clients: list[Client] = []
         self.queries = Source(seed, "queries")
         self.chance = Source(seed, "clients")
-        self.factor = 1.0
+        self.factor = self.hurry = 1.0
+        self.storm = False
         self.asked = self.good = self.tries = self.open = 0
         self.fresh: set[str] = set()
         self.parts_asked = self.parts_got = 0
@@ -222,7 +225,7 @@
                 url = json.loads(line)["remote_read"]
             except (ValueError, KeyError):
                 raise StartError(f"broker {number} said {line!r}, see its log in {self.folder}") from None
-            self.clients.append(Client(self.loop, url, self.writer))
+            self.clients.append(Client(self.loop, url, self.writer, number))
 
     def _stop(self) -> None:
         for client in self.clients:
@@ -292,7 +295,8 @@
             self.open -= 1
             return
         self.tries += 1
-        patience = max(min(int(entry.deadline * self.chance.between(*traffic.patience)), left), 1)
+        share = self.chance.between(*traffic.patience) / self.hurry
+        patience = max(min(int(entry.deadline * share), left), 1)
         client = self.clients[int(self.chance() * len(self.clients))]
         plan = self._plan(kind, shards, patience)
         if tries:
@@ -310,7 +314,9 @@
                 self.open -= 1
                 return
             wait = traffic.wait * 2**tries * self.chance.between(0.5, 1.5)
-            if self.chance() < traffic.honour:
+            if self.storm:
+                wait = float(MS)
+            elif self.chance() < traffic.honour:
                 wait = max(wait, int(headers.get("quincepath-retry-after-ms", "0")) * MS)
             self.loop.call_in(int(wait), lambda: self._try(name, kind, shards, tries + 1, began))
 
@@ -325,13 +331,19 @@
             names = list(self.by_name)
             chosen = names if entry.kind == "slowdown" else draw.pick(names, entry.holders)
             self.writer.write(Mark(time.monotonic_ns(), f"begins: {entry.kind}"))
-            if entry.kind == "burst":
-                self.factor *= entry.times
-                self.loop.call_in(entry.last, self._calm(entry.times))
+            if entry.kind in CLIENTS:
+                self._excite(entry.kind, entry.times)
+                self.loop.call_in(entry.last, lambda: self._excite(entry.kind, 1 / entry.times, over=True))
+                return
+            if entry.kind == "broker_stall":
+                for broker in draw.pick([f"broker{n}" for n in range(len(self.brokers))], entry.brokers):
+                    self._stall(int(broker[6:]), entry.last)
                 return
             for name in chosen:
                 holder = self.by_name[name]
-                if entry.kind in FAULTS:
+                if entry.kind == "pauses":
+                    self._pause(holder, entry, draw)
+                elif entry.kind in FAULTS:
                     self._control(holder, FAULTS[entry.kind](entry))
                     self.loop.call_in(entry.last, lambda h=holder: self._control(h, Faults()))  # type: ignore[misc]
                 elif entry.kind == "drain":
@@ -346,11 +358,28 @@
 
         return go
 
-    def _calm(self, times: float) -> Callable[[], None]:
-        def calm() -> None:
-            self.factor /= times
-
-        return calm
+    def _excite(self, kind: str, times: float, over: bool = False) -> None:
+        """Clients come in greater number, with less patience, or back at once; or no longer so."""
+        if kind == "burst":
+            self.factor *= times
+        elif kind == "impatience":
+            self.hurry *= times
+        else:
+            self.storm = not over
+
+    def _stall(self, number: int, last: int) -> None:
+        """Stop a broker's process and let it go on; what it owed meanwhile is excused by this line."""
+        process, now = self.brokers[number], time.monotonic_ns()
+        self.writer.write(Halt(now, number, now + last, False))
+        process.send_signal(signal.SIGSTOP)
+        self.loop.call_in(last, lambda: process.send_signal(signal.SIGCONT))
+
+    def _pause(self, holder: HolderProcess, entry: TroubleEntry, draw: Source) -> None:
+        at, now = int(draw() * entry.every), self.loop.clock()
+        while at < entry.last:
+            self.loop.call_at(now + at, lambda: self._control(holder, Faults(paused=True)))
+            self.loop.call_at(now + at + entry.pause, lambda: self._control(holder, Faults()))
+            at += int(entry.every * draw.between(0.8, 1.2))
 
     def _undrain(self, holder: HolderProcess) -> None:
         holder.phase = "ready"
--- a/quincepath/lab/load.py
+++ b/quincepath/lab/load.py
@@ -83,9 +83,9 @@
 class Client:
     """Sends queries to one remote read address; ``record`` gets each end. Bounded by its caller."""
 
-    def __init__(self, loop: Loop, url: str, record: Writer | None = None) -> None:
+    def __init__(self, loop: Loop, url: str, record: Writer | None = None, broker: int = 0) -> None:
         parts = urlsplit(url)
-        self.loop, self.record = loop, record
+        self.loop, self.record, self.broker = loop, record, broker
         self.address = (parts.hostname or "127.0.0.1", parts.port or 80)
         self.path = parts.path
         self.idle: list[_Line] = []
@@ -96,7 +96,7 @@
         self.open += 1
         began = self.loop.clock()
         if self.record:
-            self.record.write(Ask(began, name, plan.kind, plan.shards, plan.patience))
+            self.record.write(Ask(began, name, plan.kind, plan.shards, plan.patience, self.broker))
         over = False
 
         def end(status: int, response: Response | None) -> None:
--- a/quincepath/lab/openloop.py
+++ b/quincepath/lab/openloop.py
@@ -6,7 +6,7 @@
 
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import numpy as np
@@ -18,6 +18,7 @@
 from quincepath.net.loop import Loop
 
 US = 1_000  # ns; histograms count microseconds
+RETRY_WAIT = 100_000_000  # ns before a retry that was given no advice
 LONGEST_US = 600_000_000
 PERCENTILES = (50, 90, 99, 99.9)
 
@@ -50,6 +51,7 @@
     sent: int = 0
     unsent: int = 0  # due while ``most_open`` were open: counted, never silently dropped
     late_most: int = 0
+    retried: int = 0
 
     def rows(self) -> list[dict[str, Any]]:
         """Plain values for tables; times in ms."""
@@ -67,9 +69,18 @@
     """One load against one address. Bounded by ``seconds`` and ``most_open``."""
 
     def __init__(
-        self, loop: Loop, url: str, mixes: list[Mix], rate: float, seconds: float, seed: int, most_open: int
+        self,
+        loop: Loop,
+        url: str,
+        mixes: list[Mix],
+        rate: float,
+        seconds: float,
+        seed: int,
+        most_open: int,
+        retries: int = 0,
     ) -> None:
-        self.loop, self.mixes, self.most_open = loop, mixes, most_open
+        self.loop, self.mixes, self.most_open, self.retries = loop, mixes, most_open, retries
+        self.retrying = 0
         self.client = Client(loop, url)
         self.result = Result(
             {mix.name: HdrHistogram(1, LONGEST_US, 3) for mix in mixes},
@@ -89,7 +100,7 @@
 
     def done(self) -> bool:
         """Whether all is sent and ended."""
-        return self.next >= len(self.schedule) and not self.client.open
+        return self.next >= len(self.schedule) and not self.client.open and not self.retrying
 
     def _arm(self) -> None:
         if self.next < len(self.schedule):
@@ -106,20 +117,33 @@
                 self.result.outcomes[self.mixes[kind].name]["unsent"] += 1
                 continue
             self.result.sent += 1
-            self.client.ask(f"load-{self.next}", self.plans[kind], self._ended(due, kind))
+            name = f"load-{self.next}"
+            self.client.ask(name, self.plans[kind], self._ended(due, kind, name))
         self._arm()
 
-    def _ended(self, due: int, kind: int) -> Callable[[Seen], None]:
-        name = self.mixes[kind].name
+    def _ended(self, due: int, kind: int, name: str, tries: int = 0) -> Callable[[Seen], None]:
+        mix = self.mixes[kind]
 
         def ended(seen: Seen) -> None:
-            mark = seen.response.headers.get("quincepath-answer", "unmarked") if seen.response else ""
-            text = (
-                mark if seen.status == 200 else {0: "lost", -1: "gave up"}.get(seen.status, str(seen.status))
-            )
-            self.result.outcomes[name][text] += 1
+            headers = seen.response.headers if seen.response else {}
             if seen.status == 200:
+                self.result.outcomes[mix.name][headers.get("quincepath-answer", "unmarked")] += 1
                 took = max((self.loop.clock() - due) // US, 1)
-                self.result.times[name].record_value(min(took, LONGEST_US))
+                self.result.times[mix.name].record_value(min(took, LONGEST_US))
+                return
+            if tries < self.retries:
+                self.result.retried += 1
+                self.retrying += 1
+                wait = int(headers.get("quincepath-retry-after-ms", "0")) * 1000 * US or RETRY_WAIT
+                self.loop.call_in(wait, lambda: self._again(due, kind, name, tries + 1))
+                return
+            bad = {0: "lost", -1: "gave up"}.get(seen.status, str(seen.status))
+            self.result.outcomes[mix.name][bad] += 1
 
         return ended
+
+    def _again(self, due: int, kind: int, name: str, tries: int) -> None:
+        """A retry under the same id, marked as one: it must not count as a new ask."""
+        self.retrying -= 1
+        plan = replace(self.plans[kind], headers={"Retry-Attempt": str(tries)})
+        self.client.ask(name, plan, self._ended(due, kind, name, tries))
--- a/tests/test_lab_commands.py
+++ b/tests/test_lab_commands.py
@@ -2,6 +2,7 @@
 
 import json
 from pathlib import Path
+from typing import Any
 
 import pytest
 from click.testing import CliRunner
@@ -16,6 +17,7 @@
 from quincepath.lab.openloop import Mix, OpenLoop
 from quincepath.lab.record import Ask, Line, Mark, read
 from quincepath.lab.report import figure, page
+from quincepath.net.http1 import Request
 from quincepath.standins.data import END_MS
 from tests.world import MS, SECOND, World, ask
 
@@ -32,6 +34,11 @@
   - {kind: hang, at: 1s, last: 1s, holders: [s0r0]}
   - {kind: restart, at: 2s, last: 500ms, holders: [s1r0]}
 """
+ON_SOCKETS = """\
+  - {kind: pauses, at: 500ms, last: 2s, holders: [s1r1], every: 800ms, pause: 200ms}
+  - {kind: broker_stall, at: 2500ms, last: 600ms, brokers: [broker1]}
+  - {kind: retry_storm, at: 1s, last: 1s}
+"""
 
 
 @pytest.fixture
@@ -161,6 +168,27 @@
     world.close()
 
 
+def test_load_retries_are_marked_and_count_from_when_the_query_was_due(tmp_path: Path) -> None:
+    world = World(tmp_path)
+    world.faults("a0 a1 b0 b1 c0 c1", fault="errors")
+    repeats: list[bool] = []
+    taken = world.broker.front.read
+
+    def spy(request: Request, handle: int, name: str) -> Any:
+        found = taken(request, handle, name)
+        repeats.extend([found[0].repeat] if isinstance(found, tuple) else [])
+        return found
+
+    world.broker.front.read = spy  # type: ignore[method-assign]
+    load_run = OpenLoop(world.loop, world.broker.url, mixes(), 20, 1, 1, 100, retries=2)
+    world.loop.call_in(SECOND + 500 * MS, lambda: world.faults("a0 a1 b0 b1 c0 c1"))
+    world.until(load_run.done)
+    result = load_run.result
+    assert 0 < result.retried == sum(repeats) and len(repeats) == result.sent + result.retried
+    assert sum(result.outcomes["reports"].values()) == result.sent
+    world.close()
+
+
 @pytest.mark.parametrize(
     ("words", "wanted"),
     [
@@ -232,7 +260,7 @@
 
 
 def test_the_same_script_runs_over_sockets_and_asks_the_same_queries(tmp_path: Path) -> None:
-    script = parse(SCRIPT, Script, "s")
+    script = parse(SCRIPT + ON_SOCKETS, Script, "s")
     figures = SocketRun(script, script.seed, tmp_path).play()
     assert figures["findings"] == []
     lines: list[Line] = []
@@ -245,10 +273,16 @@
         (one.query, one.kind, one.shards) for one in kept if isinstance(one, Ask) and one.query[-1] == "0"
     ]
     assert sorted(virtual) == sorted(sockets) and len(virtual) > 80
-    assert [one.what for one in kept if isinstance(one, Mark)] == ["begins: hang", "begins: restart"]
+    assert [one.what for one in kept if isinstance(one, Mark)] == [
+        "begins: pauses",
+        "begins: hang",
+        "begins: retry_storm",
+        "begins: restart",
+        "begins: broker_stall",
+    ]
 
 
 def test_troubles_that_sockets_cannot_have_are_refused_by_name(script: Path) -> None:
     script.write_text(SCRIPT.replace("kind: hang", "kind: one_sided"))
     code, _, err = run("rehearse", str(script), "--sockets")
-    assert code == 2 and "not on sockets: one_sided; there are burst, drain" in err
+    assert code == 2 and "not on sockets: one_sided; there are broker_stall, burst" in err
