--- a/quincepath/lab/emulator/world.py
+++ b/quincepath/lab/emulator/world.py
@@ -330,8 +330,13 @@
         broker.pools, broker.calls, broker.tries, broker.arriving = {}, {}, {}, 0
         known = broker.known or {entry.node: entry for entry in self.truth.values()}
         broker.known = dict(known)
+        # What changed while it was dead, or was on its way when it died, comes with the list's next news.
+        broker.missed = [name for name, entry in self.truth.items() if known.get(entry.node) != entry]
         broker.inbox.append(Listed(Members(Scope.CACHED, 1, tuple(known.values()))))
         self._poke(broker)
+        if broker.missed:
+            lag = self.source("list").between(*self.script.discovery.lag) * broker.lag
+            self.after(lag, lambda: self._catch_up(broker))
 
     # --- clients ---
 
@@ -821,14 +826,12 @@
 
     def _news(self, broker: Broker, name: str, entry: Entry) -> Callable[[], None]:
         def hear() -> None:
-            if broker.frozen:
-                broker.missed.append(name)
-                return
-            broker.known[entry.node] = entry
-            if not broker.alive:
+            if broker.frozen or not broker.alive:
+                broker.missed.append(name)  # told as it is then, when the list moves or the broker is back
                 return
 
             def take() -> None:
+                broker.known[entry.node] = entry
                 self.sink(ToldLine(self.now, name, entry.phase.name.lower(), broker.number))
                 broker.inbox.append(Listed(Members(Scope.DELTA, 1, (entry,))))
                 self._poke(broker)
@@ -840,6 +843,11 @@
     def thaw(self, broker: Broker) -> None:
         """A frozen list moves again: what was missed comes as it is now."""
         broker.frozen = False
+        self._catch_up(broker)
+
+    def _catch_up(self, broker: Broker) -> None:
+        if broker.frozen or not broker.alive:
+            return
         missed, broker.missed = dict.fromkeys(broker.missed), []
         for name in missed:
             self._news(broker, name, self.truth[name])()
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -392,3 +392,18 @@
         tell(script, 5, lines, "nobody")
     with pytest.raises(StoryError, match="differs when run again"):
         tell(script, 6, lines, end.query)
+
+
+def test_a_dead_broker_hears_nothing_and_is_told_what_it_missed_when_it_is_back() -> None:
+    """Found by the fault search (day 2141): news that came while it was dead was in its list all the same."""
+    script = small(
+        {"kind": "kill", "at": "1s", "last": "2500ms", "holders": ["s0r0"]},
+        {"kind": "broker_crash", "at": "3s", "last": "1s", "brokers": ["broker0"]},
+        length="7s",
+    )
+    lines: list[Line] = []
+    outcome = rehearse(script, 5, lines.append)
+    told = [(line.phase, line.at) for line in lines if isinstance(line, Told) and line.broker == 0]
+    assert [phase for phase, _ in told] == ["gone", "ready"]
+    assert told[1][1] > 5 * SECOND  # back at 4 s of the day, and the list takes its time
+    assert outcome.report.findings == []
