All kinds of trouble over sockets; the fault search survives what it finds

Half of the kinds of trouble existed in virtual time only, overlapping ones at one holder process undid each other, and all brokers of a run on sockets read one list. Faults of a holder add up. Attempts a part are counted from the records alike both ways.

The part was forgotten too early; it is now kept to the end of the batch. A contract broken is a find and no longer ends the search.

rehearse keeps to a pace (--speed) and says how it goes; load is spread over tenants (--tenant). What kinds leave behind is shown to be gone after the return.

--- a/quincepath/broker/driver.py
+++ b/quincepath/broker/driver.py
@@ -133,6 +133,7 @@
         self._timer_count = 0
         self._orders: list[Order] = []
         self._calls: dict[NodeId, list[list[AttemptOrder]]] = {}
+        self._done: list[int] = []  # parts to forget at the end of this step
 
     # --- what the edge calls ---
 
@@ -160,6 +161,10 @@
             for action in self.module.handle(self.now, events):
                 self._apply(action)
         self._end_overdue()
+        # Not earlier: the module may stop an attempt for one event of a batch that ended by a later one.
+        for part_id in self._done:
+            self.parts.pop(part_id, None)
+        self._done.clear()
         # Starts go first: a stop in the same batch then always names an attempt that the edge knows.
         starts = [StartCall(node, tuple(call)) for node, calls in self._calls.items() for call in calls]
         return [*starts, *self._orders]
@@ -221,7 +226,7 @@
         elapsed = self.now - attempt.sent
         events.append(Outcome(part.id, item.attempt, attempt.node, item.result, elapsed, final, ()))
         if query.over and not part.out():
-            self.parts.pop(part.id, None)
+            self._done.append(part.id)
 
     def _listed(self, members: Members) -> None:
         if members.scope is Scope.FAILED:
@@ -387,7 +392,7 @@
         for part in query.parts:
             part.body = None
             if not part.out():
-                self.parts.pop(part.id, None)
+                self._done.append(part.id)
         if query.sent_at != self.now:
             return
         # Sends of this very batch for a query that ended later in it must not leave.
@@ -404,7 +409,7 @@
             attempt.ended = True
             self._carried.append(Outcome(part.id, order.attempt, attempt.node, Result.MOOT, 0, True, ()))
             if not part.out():
-                self.parts.pop(part.id, None)
+                self._done.append(part.id)
         return True
 
     def _end_overdue(self) -> None:
--- a/quincepath/broker/service.py
+++ b/quincepath/broker/service.py
@@ -78,7 +78,7 @@
         self.front = RemoteReadFront(config, self.map)
         self.upstream = Upstream(
             loop,
-            RemoteReadCalls(config.limits.max_answer),
+            RemoteReadCalls(config.limits.max_answer, config.broker.number),
             PoolLimits(
                 config.limits.connect_timeout,
                 config.limits.idle_close,
--- a/quincepath/cli/lab.py
+++ b/quincepath/cli/lab.py
@@ -3,6 +3,7 @@
 import json
 import sys
 import tempfile
+import time
 from importlib.metadata import version
 from pathlib import Path
 from typing import Any
@@ -18,10 +19,10 @@
 from quincepath.lab.emulator.recording import RecordingError, RecordingWriter, read_recording
 from quincepath.lab.emulator.rehearsal import Outcome, rehearse
 from quincepath.lab.emulator.script import Script
-from quincepath.lab.emulator.sockets import NotOnSockets, SocketRun
+from quincepath.lab.emulator.sockets import SocketRun
 from quincepath.lab.emulator.story import StoryError, tell
 from quincepath.lab.emulator.world import BEGIN
-from quincepath.lab.record import Line
+from quincepath.lab.record import Ask, End, Line, Mark
 
 BAD_INPUT = 2
 FINDINGS_SHOWN = 20
@@ -138,22 +139,35 @@
 def _on_sockets(plan: Script, seed: int | None, as_json: bool) -> None:
     """Play over loopback, say what came of it and end."""
     with tempfile.TemporaryDirectory(prefix="quincepath-rehearse-") as folder:
-        try:
-            figures = SocketRun(plan, plan.seed if seed is None else seed, Path(folder)).play()
-        except NotOnSockets as error:
-            fail([str(error)])
-            return
+        figures = SocketRun(plan, plan.seed if seed is None else seed, Path(folder)).play()
     click.echo(json.dumps(figures, indent=None if as_json else 1))
-    sys.exit(1 if figures["findings"] else 0)
+    sys.exit(1 if figures["findings"] or figures["fell"] else 0)
+
 
+class Ears:
+    """Hears a rehearsal's lines: moves the bar, keeps and records them where wanted, keeps to a pace.
 
-class _Ears:
-    """Hears a rehearsal's lines: moves the bar, keeps and records them where wanted."""
+    ``speed``: simulated seconds a second at most; 0 is as fast as it goes.
+    """
 
-    def __init__(self, seconds: int, bar: Any, writer: RecordingWriter | None, keep: bool) -> None:
-        self.seconds, self.bar, self.writer, self.keep = seconds, bar, writer, keep
+    def __init__(
+        self, seconds: int, bar: Any, writer: RecordingWriter | None, keep: bool, speed: float = 0.0
+    ) -> None:
+        self.seconds, self.bar, self.writer, self.keep, self.speed = seconds, bar, writer, keep, speed
+        self.began = time.monotonic()
         self.lines: list[Line] = []
-        self.seen = 0
+        self.seen = self.asked = self.answered = self.ended = 0
+        self.last = ""
+
+    @staticmethod
+    def shown(ears: "Ears | int | None") -> str:
+        """What the progress bar says beside itself."""
+        return ears.summary() if isinstance(ears, Ears) else ""
+
+    def summary(self) -> str:
+        """How it goes, in a few words."""
+        share = self.answered / max(self.ended, 1)
+        return f"{self.asked} asked, {share:.1%} of ends answered{self.last and f'; {self.last}'}"
 
     def hear(self, line: Line) -> None:
         """Take one line."""
@@ -161,9 +175,21 @@
             self.lines.append(line)
         if self.writer is not None:
             self.writer.write(line)
-        second = min((getattr(line, "at", 0) - BEGIN) // SECOND, self.seconds)
+        match line:
+            case Ask():
+                self.asked += 1
+            case End():
+                self.ended += 1
+                self.answered += line.status == 200
+            case Mark():
+                self.last = line.what
+        at = getattr(line, "at", BEGIN) - BEGIN
+        if self.speed:
+            time.sleep(max(self.began + at / SECOND / self.speed - time.monotonic(), 0))
+        second = min(at // SECOND, self.seconds)
         if second > self.seen:
-            self.bar.update(second - self.seen)
+            if self.bar is not None:
+                self.bar.update(second - self.seen, self)
             self.seen = second
 
 
@@ -177,6 +203,9 @@
 @click.option("--json", "as_json", is_flag=True)
 @click.option("--from-day", "is_day", is_flag=True, help="SCRIPT is a drawn day of the operators' bench.")
 @click.option("--sockets", is_flag=True, help="Over loopback, in real time.")
+@click.option(
+    "--speed", type=click.FloatRange(0, min_open=True), help="Times real time at most; else as it goes."
+)
 def rehearse_command(
     script: Path,
     seed: int | None,
@@ -187,9 +216,12 @@
     as_json: bool,
     is_day: bool,
     sockets: bool,
+    speed: float | None,
 ) -> None:
     """Play an incident in virtual time. Exit status 1 if a rule broke or a holder fell over."""
     plan = _script(script, is_day)
+    if sockets and speed not in (None, 1.0):
+        fail([f"--speed {speed}: --sockets plays in real time"])
     if sockets:
         _on_sockets(plan, seed, as_json)
     jobs = {script.name: plan}
@@ -208,8 +240,9 @@
             text = json.dumps(_plain(plan)) if is_day else script.read_text(encoding="utf-8")
             chosen = plan.seed if seed is None else seed
             writer = RecordingWriter(record, text, chosen, version("quincepath"))
-        with click.progressbar(length=one.length // SECOND, label=name, file=sys.stderr) as bar:
-            ears = _Ears(one.length // SECOND, bar, writer, report is not None)
+        seconds = one.length // SECOND
+        with click.progressbar(length=seconds, label=name, file=sys.stderr, item_show_func=Ears.shown) as bar:
+            ears = Ears(seconds, bar, writer, report is not None, speed or 0.0)
             outcomes[name] = rehearse(one, seed, ears.hear)
         kept[name] = ears.lines
         if writer is not None:
@@ -278,15 +311,13 @@
             finds.append(find)
             bar.update(1)
     finds.sort(key=Find.badness, reverse=True)
-    broken = sum(find.outcome.broken for find in finds)
-    middle = sorted(find.outcome.good for find in finds)[len(finds) // 2]
+    broken = sum(find.broken for find in finds)
+    middle = sorted(find.good for find in finds)[len(finds) // 2]
     click.echo(f"{len(finds)} days (simulated): {broken} broke a rule, good in the middle {middle:.3f}")
     for find in finds[:worst]:
         cut = cut_down(find)
         kinds = ", ".join(f"{t.kind} at {t.at / 1e9:.1f} s" for t in cut.script.troubles)
-        click.echo(
-            f"day {find.number}: good {find.outcome.good:.3f}; cut down to {cut.outcome.good:.3f}: {kinds}"
-        )
-        for finding in cut.outcome.report.findings[:3]:
-            click.echo(f"  {finding}")
+        click.echo(f"day {find.number}: good {find.good:.3f}; cut down to {cut.good:.3f}: {kinds}")
+        for text in [cut.contract] if cut.outcome is None else cut.outcome.report.findings[:3]:
+            click.echo(f"  {text}")
     sys.exit(1 if broken else 0)
--- a/quincepath/cli/main.py
+++ b/quincepath/cli/main.py
@@ -22,7 +22,7 @@
 from quincepath.lab.audit import audit as run_audit
 from quincepath.lab.day import DayScript, run_day
 from quincepath.lab.demo import demo_config, make_cluster
-from quincepath.lab.openloop import Mix, OpenLoop
+from quincepath.lab.openloop import Mix, OpenLoop, by_tenant
 from quincepath.lab.record import Writer
 from quincepath.net.loop import READ, Loop
 from quincepath.observe.logs import setup
@@ -104,6 +104,8 @@
 @click.option("--tractors", default=4, help="In each district.")
 @click.option("--work-ms", default=4.0, help="Service time of a part when warm.")
 @click.option("--cores", default=2)
+@click.option("--speed", default=1.0, help="Work (ms) that a warm core does in a ms.")
+@click.option("--room", default=64, help="Calls that may wait.")
 @click.option("--cold", default=1.0, help="Share of its capacity at the start; 1 is warm.")
 @click.option("--ramp-s", default=10.0)
 @click.option("--spread", default=0.0, help="Of the work of parts, as the sigma of a log-normal.")
@@ -119,6 +121,8 @@
     tractors: int,
     work_ms: float,
     cores: int,
+    speed: float,
+    room: int,
     cold: float,
     ramp_s: float,
     spread: float,
@@ -138,8 +142,12 @@
         fail([f"--works {works!r}: expected METRIC=MS,..."])
     store = Store(seed, districts.split(","), tractors, tuple(by_metric) or METRICS)
     ramp = int(ramp_s * 1e9)
-    service = Service(int(work_ms * 1e6), cores, 64, cold, ramp, spread, by_metric, fall_multiple)
-    holder = Leaf(loop, name, store, service, Writer(record, name) if record else None, port)
+    service = Service(
+        int(work_ms * 1e6), cores, room, cold, ramp, spread, by_metric, fall_multiple, speed=speed
+    )
+    holder = Leaf(
+        loop, name, store, service, Writer(record, name) if record else None, port, on_death=loop.stop
+    )
     click.echo(json.dumps({"name": name, "port": holder.port, "url": holder.url}))
     sys.stdout.flush()
     loop.on_signals({signal.SIGINT: loop.stop, signal.SIGTERM: loop.stop})
@@ -302,6 +310,8 @@
 @click.option("--timeout", default=10.0, help="Seconds until this client gives a query up.")
 @click.option("--most-open", default=1000, help="Open at once; what is due beyond is counted as unsent.")
 @click.option("--retries", default=0, help="By which a query that was not answered is asked again, marked.")
+@click.option("--tenant", "tenants", multiple=True, help="NAME or NAME=WEIGHT; as often as wanted.")
+@click.option("--tenant-header", default="X-Scope-OrgID", help="In which a tenant is named.")
 @click.option("--seed", default=1)
 @click.option("--json", "as_json", is_flag=True)
 def load_command(
@@ -314,6 +324,8 @@
     timeout: float,
     most_open: int,
     retries: int,
+    tenants: tuple[str, ...],
+    tenant_header: str,
     seed: int,
     as_json: bool,
 ) -> None:
@@ -336,6 +348,12 @@
             share, rest = 1.0, text
         matchers = tuple(parse_matcher(one) for one in (rest if sign else text).split(";"))
         mixes.append(Mix(text, share, matchers, start, until, int(timeout * 1e9)))
+    try:
+        weights = {name: float(weight or 1) for name, _, weight in (one.partition("=") for one in tenants)}
+    except ValueError:
+        fail([f"--tenant {', '.join(tenants)!r}: expected NAME or NAME=WEIGHT"])
+    if weights:
+        mixes = by_tenant(mixes, weights, tenant_header)
     loop = Loop()
     load_run = OpenLoop(loop, url, mixes, rate, seconds, seed, most_open, retries)
     loop.run_until(load_run.done, seconds + timeout + 5)
--- a/quincepath/lab/audit.py
+++ b/quincepath/lab/audit.py
@@ -11,6 +11,8 @@
 from pathlib import Path
 from typing import Generic, TypeVar
 
+import msgspec
+
 from quincepath.lab.record import (
     Ask,
     Bounds,
@@ -87,8 +89,13 @@
     queries: int
     ended: dict[str, int]
     parts_got: int
+    parts_tried: int = 0  # parts of which at least one attempt reached a holder
     margins: dict[str, float] = field(default_factory=dict)  # by rule, the share of its limit that was used
 
+    def attempts_a_part(self) -> float:
+        """Attempts that reached holders, for each part that reached one at all."""
+        return self.parts_got / max(self.parts_tried, 1)
+
 
 def collect(lines: Iterable[tuple[str, Line]]) -> Book:
     """Sort lines, given with their places, into a book."""
@@ -117,6 +124,11 @@
                 book.halts.append(line)
             case Head() | Mark():
                 pass
+    # Whose attempt it was is known from the client that asked, not from what the broker says of itself.
+    for seen in book.got:
+        asked = book.asks.get(seen.line.query)
+        if asked is not None and asked.line.broker != seen.line.broker:
+            seen.line = msgspec.structs.replace(seen.line, broker=asked.line.broker)
     book.got.sort(key=lambda seen: seen.line.at)
     book.told.sort(key=lambda seen: seen.line.at)
     return book
@@ -152,7 +164,8 @@
         for seen in ends:
             ended[_kind_of(seen.line)] += 1
     margins = dict(sorted(book.peaks.items()))
-    return Report(found, len(book.asks), dict(sorted(ended.items())), len(book.got), margins)
+    tried = len({(seen.line.query, seen.line.shard, seen.line.step) for seen in book.got})
+    return Report(found, len(book.asks), dict(sorted(ended.items())), len(book.got), tried, margins)
 
 
 def _kind_of(end: End) -> str:
--- a/quincepath/lab/emulator/chance.py
+++ b/quincepath/lab/emulator/chance.py
@@ -5,7 +5,7 @@
 
 import numpy as np
 
-from quincepath.lab.emulator.script import TrafficClass
+from quincepath.lab.emulator.script import FleetEntry, MachineKind, TrafficClass
 
 BLOCK = 1024
 
@@ -34,6 +34,23 @@
         return sorted(self.generator.permutation(items)[:count].tolist())
 
 
+def machines(fleet: FleetEntry, draw: Source) -> dict[str, MachineKind]:
+    """The kind of machine of each holder, by the kinds' shares."""
+    total = sum(kind.share for kind in fleet.kinds)
+    found = {}
+    for s in range(fleet.sets):
+        for r in range(fleet.replicas):
+            left = draw() * total
+            chosen = fleet.kinds[-1]
+            for kind in fleet.kinds:
+                left -= kind.share
+                if left < 0:
+                    chosen = kind
+                    break
+            found[f"s{s}r{r}"] = chosen
+    return found
+
+
 @dataclass(slots=True, frozen=True)
 class Drawn:
     """One client's query: the position of its class, the shards that it touches."""
--- a/quincepath/lab/emulator/hunt.py
+++ b/quincepath/lab/emulator/hunt.py
@@ -8,6 +8,7 @@
 
 from quincepath.lab.emulator.rehearsal import Outcome, rehearse
 from quincepath.lab.emulator.script import KINDS, Script
+from quincepath.lab.emulator.world import ContractBroken
 
 ALL_KINDS = sorted(get_args(KINDS))
 KEPT = 0.8  # a cut script must lose so much of what the whole one loses, to count as the same find
@@ -16,17 +17,28 @@
 
 @dataclass(slots=True, frozen=True)
 class Find:
-    """A drawn day: its number, script and outcome."""
+    """A drawn day: its number, script and outcome; ``contract`` says where the program itself failed."""
 
     number: int
     script: Script
-    outcome: Outcome
+    outcome: Outcome | None
+    contract: str = ""
+
+    @property
+    def broken(self) -> bool:
+        """Whether a rule or a contract broke, or a holder fell over."""
+        return self.outcome is None or self.outcome.broken
+
+    @property
+    def good(self) -> float:
+        """Share served whole in time; 0 where the program failed."""
+        return 0.0 if self.outcome is None else self.outcome.good
 
     def badness(self) -> float:
-        """What is lost; a broken rule or a fallen holder outweighs all."""
-        return (
-            10.0 * len(self.outcome.report.findings) + 10.0 * len(self.outcome.fell) + 1 - self.outcome.good
-        )
+        """What is lost; a broken rule or a fallen holder outweighs all but a broken contract."""
+        if self.outcome is None:
+            return 1000.0
+        return 10.0 * len(self.outcome.report.findings) + 10.0 * len(self.outcome.fell) + 1 - self.good
 
 
 def draw(number: int, large: bool = False) -> Script:
@@ -107,11 +119,18 @@
     )
 
 
+def play(number: int, script: Script, run: Callable[[Script], Outcome] = rehearse) -> Find:
+    """Run one day. A broken contract is a find like any other: the search goes on."""
+    try:
+        return Find(number, script, run(script))
+    except ContractBroken as error:
+        return Find(number, script, None, str(error))
+
+
 def search(numbers: Iterator[int] | range, large: bool = False) -> Iterator[Find]:
     """Run drawn days, one after the other."""
     for number in numbers:
-        script = draw(number, large)
-        yield Find(number, script, rehearse(script))
+        yield play(number, draw(number, large))
 
 
 def cut_down(find: Find, run: Callable[[Script], Outcome] = rehearse) -> Find:
@@ -123,7 +142,7 @@
         for place in range(len(best.script.troubles)):
             fewer = [t for at, t in enumerate(best.script.troubles) if at != place]
             script = best.script.model_copy(update={"troubles": fewer})
-            tried = Find(find.number, script, run(script))
+            tried = play(find.number, script, run)
             if tried.badness() >= KEPT * find.badness():
                 best, again = tried, True
                 break
--- a/quincepath/lab/emulator/rehearsal.py
+++ b/quincepath/lab/emulator/rehearsal.py
@@ -93,7 +93,7 @@
         by_class={name: tally.good[name] / count for name, count in sorted(tally.asked.items())},
         worst_window=worst,
         answers=dict(sorted(tally.outcomes.items())),
-        attempts_a_part=tally.attempts / max(tally.parts, 1),
+        attempts_a_part=report.attempts_a_part(),
         tries_a_query=tally.tries / max(asked, 1),
         median_s=float(np.percentile(took, 50)),
         p99_s=float(np.percentile(took, 99)),
--- a/quincepath/lab/emulator/world.py
+++ b/quincepath/lab/emulator/world.py
@@ -42,7 +42,7 @@
     Scope,
     Settings,
 )
-from quincepath.lab.emulator.chance import Source, draw_query, part_work
+from quincepath.lab.emulator.chance import Source, draw_query, machines, part_work
 from quincepath.lab.emulator.script import Script, TrafficClass
 from quincepath.lab.emulator.server import Fleet, Job, Kind, Server, State
 from quincepath.lab.record import Ask as AskLine
@@ -152,6 +152,10 @@
         self.missed: list[str] = []
 
 
+class ContractBroken(AssertionError):
+    """Driver and module disagreed: a defect of the program, whatever the day; the text says where."""
+
+
 @dataclass(slots=True)
 class Tally:
     """What a run came to."""
@@ -161,8 +165,6 @@
     by_second: dict[int, list[int]] = field(default_factory=lambda: defaultdict(lambda: [0, 0]))
     outcomes: Counter[str] = field(default_factory=Counter)
     took: list[float] = field(default_factory=list)
-    attempts: int = 0
-    parts: int = 0
     tries: int = 0
     fell: list[str] = field(default_factory=list)
     down_most: int = 0
@@ -257,23 +259,16 @@
 
     def _make_fleet(self) -> Fleet:
         entry, fleet = self.script.fleet, Fleet()
-        draw = self.source("kinds")
-        total = sum(kind.share for kind in entry.kinds)
+        kinds = machines(entry, self.source("kinds"))
         for s in range(entry.sets):
             for r in range(entry.replicas):
-                left = draw() * total
-                machine = entry.kinds[-1]
-                for kind in entry.kinds:
-                    left -= kind.share
-                    if left < 0:
-                        machine = kind
-                        break
+                name = f"s{s}r{r}"
+                machine = kinds[name]
                 model = Kind(
                     machine.cores, machine.speed, entry.room, entry.table, entry.connect_work, entry.cold,
                     entry.ramp, self.script.rules.fall_multiple, self.script.rules.overload_for,
                     entry.drop_cancelled,
                 )  # fmt: skip
-                name = f"s{s}r{r}"
                 fleet.add(
                     Server(name, model, self.source(f"server {name}"), self.now), r % len(self.zones), s
                 )
@@ -533,7 +528,7 @@
                 case Finish():
                     self._finish(broker, order)
                 case Breach(name, detail):
-                    raise AssertionError(f"broker {broker.number}: contract broken: {name}: {detail}")
+                    raise ContractBroken(f"broker {broker.number}: contract broken: {name}: {detail}")
                 case Told(text):
                     self.mark(f"broker{broker.number}: {text}")
         due = broker.driver.next_due()
@@ -550,8 +545,6 @@
 
     def _finish(self, broker: Broker, order: Finish) -> None:
         attempt = broker.tries.pop(order.handle, None)
-        self.tally.attempts += order.attempts
-        self.tally.parts += order.parts_asked
         if attempt is None:
             return
         mark = ("whole" if order.whole else "partial") if order.verdict is Verdict.ANSWERED else ""
--- a/quincepath/lab/load.py
+++ b/quincepath/lab/load.py
@@ -165,6 +165,12 @@
         line.stream = Stream(self.loop, sock, data, lost)
         return line
 
+    def move(self, url: str) -> None:
+        """From now on ask at another address."""
+        parts = urlsplit(url)
+        self.address, self.path = (parts.hostname or "127.0.0.1", parts.port or 80), parts.path
+        self.close()
+
     def close(self) -> None:
         """Close idle connections."""
         for line in self.idle:
--- a/quincepath/lab/openloop.py
+++ b/quincepath/lab/openloop.py
@@ -33,13 +33,28 @@
     start_ms: int
     end_ms: int
     patience: int  # ns
+    headers: tuple[tuple[str, str], ...] = ()
 
     def plan(self) -> QueryPlan:
         """The query to send; the same bytes each time."""
         request = ReadRequest()
         query = request.queries.add(start_timestamp_ms=self.start_ms, end_timestamp_ms=self.end_ms)
         query.matchers.extend(self.matchers)
-        return QueryPlan(self.name, [], encode(request), request, self.patience)
+        return QueryPlan(self.name, [], encode(request), request, self.patience, dict(self.headers))
+
+
+def by_tenant(mixes: list[Mix], tenants: dict[str, float], header: str) -> list[Mix]:
+    """Each kind of query for each tenant, by the tenants' weights, named in ``header``."""
+    return [
+        replace(
+            mix,
+            name=f"{mix.name} [{tenant}]",
+            weight=mix.weight * weight,
+            headers=(*mix.headers, (header, tenant)),
+        )
+        for mix in mixes
+        for tenant, weight in tenants.items()
+    ]
 
 
 @dataclass(slots=True)
@@ -145,5 +160,6 @@
     def _again(self, due: int, kind: int, name: str, tries: int) -> None:
         """A retry under the same id, marked as one: it must not count as a new ask."""
         self.retrying -= 1
-        plan = replace(self.plans[kind], headers={"Retry-Attempt": str(tries)})
+        first = self.plans[kind]
+        plan = replace(first, headers={**first.headers, "Retry-Attempt": str(tries)})
         self.client.ask(name, plan, self._ended(due, kind, name, tries))
--- a/quincepath/net/server.py
+++ b/quincepath/net/server.py
@@ -151,7 +151,9 @@
         times: Times,
         most: int,
         on_rest: Callable[[str], None] = lambda why: None,
+        on_peer: Callable[[Peer], None] = lambda peer: None,
     ) -> None:
+        self.on_peer = on_peer
         self.loop, self.handler, self.limits, self.times = loop, handler, limits, times
         self.peers: dict[Peer, None] = {}
         self.counts: Counter[str] = Counter()
@@ -167,7 +169,9 @@
 
     def _accept(self, sock: socket.socket) -> None:
         self.counts["accepted"] += 1
-        self.peers[Peer(self, sock)] = None
+        peer = Peer(self, sock)
+        self.peers[peer] = None
+        self.on_peer(peer)
 
     def _sweep(self) -> None:
         for peer in list(self.peers):
--- a/quincepath/standins/leaf.py
+++ b/quincepath/standins/leaf.py
@@ -5,6 +5,7 @@
 """
 
 import zlib
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import msgspec
@@ -12,13 +13,13 @@
 
 from quincepath.fronts.remote_read.codec import HEADERS, CodecError, decode_request, encode
 from quincepath.fronts.remote_read.matchers import MatcherError
-from quincepath.fronts.remote_read.remote_pb2 import ReadRequest
+from quincepath.fronts.remote_read.remote_pb2 import Query, ReadRequest
 from quincepath.lab.emulator.chance import Source
 from quincepath.lab.emulator.server import Job, Kind, Server, State
-from quincepath.lab.record import Got, Said, Up, Writer
+from quincepath.lab.record import Got, Mark, Said, Up, Writer
 from quincepath.net.http1 import Limits, Request, response_head
 from quincepath.net.loop import Loop, Timer
-from quincepath.net.server import Exchange, HttpServer, Times
+from quincepath.net.server import Exchange, HttpServer, Peer, Times
 from quincepath.standins.data import Store
 
 MS = 1_000_000
@@ -26,6 +27,9 @@
 PATH = "/api/v1/read"
 FAR = 1 << 62  # ns: a holder of remote read is not told when its client gives up
 TIMES = Times(idle=120 * SECOND, request=30 * SECOND, write=30 * SECOND)
+INCIDENT = "incident"  # a matcher on this label that all series pass: what a query is meant to do to a holder
+POISON = "poison"
+HEAVY = "heavy-"  # and how many times the work
 FAULTS = (
     "none", "hang", "silence", "errors", "full", "reset", "cut", "trickle", "corrupt", "miscount", "oversize",
     "late",
@@ -38,7 +42,8 @@
     hang: taken, never answered. silence: not read any more. errors: 500. full: 429. reset: the connection is
     reset. cut: it ends inside the body. trickle: a byte a second. corrupt: not snappy. miscount: a result too
     few. oversize: 80 MB. late: answered after ``late_ms``. ``slow`` times as long, ``steal`` a share of the
-    machine, ``lose`` a share of the answers.
+    machine, ``lose`` a share of the answers. ``metric``: only calls that read it meet ``fault``.
+    ``handshake_ms``: a new connection is read only after it. ``deaf_to``: brokers to which nothing gets back.
     """
 
     fault: str = "none"
@@ -48,6 +53,9 @@
     steal: float = 0.0
     paused: bool = False
     lose: float = 0.0
+    metric: str = ""
+    handshake_ms: float = 0.0
+    deaf_to: list[int] = []
 
 
 @dataclass(slots=True, frozen=True)
@@ -66,11 +74,12 @@
     works: dict[str, int] = field(default_factory=dict)
     fall_multiple: float = 2.0
     overload_for: int = 2 * SECOND
+    speed: float = 1.0
 
     def kind(self) -> Kind:
         """As the laboratory's model has it."""
         return Kind(
-            cores=self.cores, room=self.room, cold=min(self.cold, 1.0), ramp=self.ramp,
+            cores=self.cores, speed=self.speed, room=self.room, cold=min(self.cold, 1.0), ramp=self.ramp,
             fall_multiple=self.fall_multiple, overload_for=self.overload_for,
         )  # fmt: skip
 
@@ -80,6 +89,7 @@
     exchange: Exchange
     request: ReadRequest
     parts: list[tuple[str, int, int, int]]
+    broker: int = 0
 
 
 class Leaf:
@@ -94,7 +104,9 @@
         record: Writer | None = None,
         port: int = 0,
         most_connections: int = 4000,
+        on_death: Callable[[], None] = lambda: None,
     ) -> None:
+        self.on_death = on_death
         self.loop, self.name, self.store, self.record = loop, name, store, record
         self.service = service or Service()
         self._faults = Faults()
@@ -104,12 +116,13 @@
         self._met = 0.0
         self._look: Timer | None = None
         self.server = HttpServer(
-            loop, "127.0.0.1", port, self._request, Limits(body=8 << 20), TIMES, most_connections
-        )
+            loop, "127.0.0.1", port, self._request, Limits(body=8 << 20), TIMES, most_connections,
+            on_peer=self._greet,
+        )  # fmt: skip
         self.port = self.server.port
         self.url = f"http://127.0.0.1:{self.port}{PATH}"
         if record is not None:
-            capacity = self.service.cores * 1e9
+            capacity = self.service.cores * self.service.speed * 1e9
             record.write(Up(self.loop.clock(), name, self.service.cold, self.service.ramp, capacity))
 
     @property
@@ -165,11 +178,16 @@
             return
         parts = parts_of(exchange.request)
         works = self._works(request, parts)
+        sender = exchange.request.headers.get("x-quincepath-broker", "")
+        broker = int(sender) if sender.isdigit() else 0
         if self.record is not None:
             for (query, shard, step, attempt), work in zip(parts, works, strict=False):
-                self.record.write(Got(self.loop.clock(), self.name, query, shard, step, attempt, int(work)))
-        call = _Call(exchange, request, parts)
-        job = Job(sum(works), FAR, frozenset(), call)
+                self.record.write(
+                    Got(self.loop.clock(), self.name, query, shard, step, attempt, int(work), broker)
+                )
+        call = _Call(exchange, request, parts, broker)
+        poison = any(value == POISON for _, value in map(_meant, request.queries))
+        job = Job(sum(works), FAR, frozenset(), call, poison)
         exchange.on_left = lambda: self.model.cancel(self.loop.now, job)
         if self._faulty(call):
             return
@@ -178,6 +196,8 @@
         if said == "full":
             self._say(call, 503, {"Retry-After": "1"}, b"full\n", False)
         elif said == "fell":
+            if self.record is not None:
+                self.record.write(Mark(self.loop.clock(), f"{self.name} fell over"))
             self.close(reset=True)  # pushed over: down until somebody starts it anew
         else:
             self._arm()
@@ -185,22 +205,34 @@
     def _works(self, request: ReadRequest, parts: list[tuple[str, int, int, int]]) -> list[float]:
         """The work of each part; one for a client that names none."""
         service = self.service
-        metric = next((m.value for q in request.queries for m in q.matchers if m.name == "__name__"), "")
-        mean = service.works.get(metric, service.work)
-        if not service.spread:
-            return [float(mean)] * max(len(parts), 1)
+        meant = [_meant(query) for query in request.queries] or [("", "")]
+        alike = len(meant) == len(parts)
         found = []
-        for query, shard, step, _ in parts or [("", 0, 1, 0)]:
-            name = f"{query.partition('.')[0]}/{shard}/{step}"
-            normal = float(np.random.default_rng(zlib.crc32(name.encode())).standard_normal())
-            found.append(mean * float(np.exp(service.spread * normal - service.spread**2 / 2)))
+        for place, (query, shard, step, _) in enumerate(parts or [("", 0, 1, 0)]):
+            metric, incident = meant[place if alike else 0]
+            mean = float(service.works.get(metric, service.work))
+            if incident.startswith(HEAVY):
+                mean *= float(incident.removeprefix(HEAVY))
+            if service.spread:
+                name = f"{query.partition('.')[0]}/{shard}/{step}"
+                normal = float(np.random.default_rng(zlib.crc32(name.encode())).standard_normal())
+                mean *= float(np.exp(service.spread * normal - service.spread**2 / 2))
+            found.append(mean)
         return found
 
+    def _greet(self, peer: Peer) -> None:
+        """A new connection; with slow handshakes nothing that it sends is read for a time."""
+        if self.faults.handshake_ms:
+            peer.stream.pause()
+            self.loop.call_in(int(self.faults.handshake_ms * MS), peer.stream.resume)
+
     def _faulty(self, job: _Call) -> bool:
         """Carry out a fault that needs no service; the share is met evenly, without chance."""
         fault = self.faults.fault
         if fault == "none":
             return False
+        if self.faults.metric and all(_meant(q)[0] != self.faults.metric for q in job.request.queries):
+            return False
         self._met += self.faults.share
         if self._met < 1:
             return False
@@ -255,9 +287,13 @@
 
     def _arm(self) -> None:
         """Look again when the model's next job ends."""
-        due = self.model.next_end()
         if self._look is not None:
             self._look.cancel()
+        if self.model.poisoned():
+            self.close(reset=True)
+            self.on_death()
+            return
+        due = self.model.next_end()
         self._look = None if due is None else self.loop.call_at(due, self._due)
 
     def _due(self) -> None:
@@ -280,10 +316,23 @@
             for query, shard, step, attempt in job.parts:
                 now = self.loop.clock()
                 self.record.write(Said(now, self.name, query, shard, step, attempt, status, good))
+        if job.broker in self.faults.deaf_to:
+            return  # it went out and got lost
         job.exchange.on_left = None
         job.exchange.respond(status, headers, body)
 
 
+def _meant(query: Query) -> tuple[str, str]:
+    """The metric that a query reads, and what it is meant to do to the holder."""
+    metric = incident = ""
+    for matcher in query.matchers:
+        if matcher.name == "__name__":
+            metric = matcher.value
+        elif matcher.name == INCIDENT:
+            incident = matcher.value
+    return metric, incident
+
+
 def parts_of(request: Request) -> list[tuple[str, int, int, int]]:
     """What a broker says of the parts in a call: (query, shard, step, attempt); empty for other clients."""
     found = []
--- a/quincepath/upstream/remote_read.py
+++ b/quincepath/upstream/remote_read.py
@@ -9,6 +9,7 @@
 from quincepath.net.http1 import Response
 
 PARTS_HEADER = "X-Quincepath-Parts"  # name/shard/step/attempt of each part, for the holder's log
+BROKER_HEADER = "X-Quincepath-Broker"  # the number of the broker that calls
 
 
 class BadAnswer(ValueError):
@@ -18,8 +19,8 @@
 class RemoteReadCalls:
     """Encodes calls and decodes their answers; ``most`` bytes of an answer, decompressed."""
 
-    def __init__(self, most: int) -> None:
-        self.most = most
+    def __init__(self, most: int, broker: int = 0) -> None:
+        self.most, self.broker = most, str(broker)
 
     def encode(self, attempts: Sequence[AttemptOrder]) -> tuple[dict[str, str], bytes]:
         """Headers and body of one call."""
@@ -29,7 +30,10 @@
             fetch: PartFetch = order.payload
             request.queries.extend(query for _, query in fetch.queries)
             names.append(f"{order.query_name or '-'}/{order.shard}/{order.step}/{order.attempt}")
-        headers = {**HEADERS, **VERSION_HEADER, "Accept-Encoding": "snappy", PARTS_HEADER: ", ".join(names)}
+        headers = {
+            **HEADERS, **VERSION_HEADER, "Accept-Encoding": "snappy", PARTS_HEADER: ", ".join(names),
+            BROKER_HEADER: self.broker,
+        }  # fmt: skip
         return headers, encode(request)
 
     def decode(self, attempts: Sequence[AttemptOrder], response: Response) -> list[PartBody]:
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -107,6 +107,17 @@
     assert [(p.id, p.number, p.shard) for p in parts if isinstance(p, Part)] == [(2, 1, 0), (3, 1, 1)]
 
 
+def test_a_stop_may_name_an_attempt_that_ended_in_the_same_batch() -> None:
+    """Found by the fault search (day 20036): after a stall, a client's leaving and a reply came at once."""
+    rig = Rig()
+    rig.ask()
+    send(rig)
+    orders = rig.step(ClientLeft(77), Ended(2, 0, Result.TIMEOUT), say=[Cancel(2, 0)], after=MS)
+    assert orders == [] and rig.driver.open_work() == 0
+    again = rig.step(Listed(Members(Scope.DELTA, 2, ())), say=[Cancel(2, 0)])
+    assert rig.breaches(again) == ["cancel_unknown"]
+
+
 def test_sends_of_one_batch_share_a_call_up_to_the_limit() -> None:
     rig = Rig(cells=1, limits={"batch": 2})
     rig.driver = Driver(rig.module, rig.settings, GRACE)
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -6,10 +6,12 @@
 import sys
 from collections.abc import Callable
 from dataclasses import replace
+from functools import cache
 from pathlib import Path
 from typing import Any
 
 import msgspec
+import numpy as np
 import pytest
 from ruamel.yaml import YAML
 from ruamel.yaml.compat import StringIO
@@ -243,6 +245,45 @@
         assert figure(small(late), read) <= calm * 1.25 + 1e-9
 
 
+LEAVE_BEHIND: list[dict[str, Any]] = [
+    {"kind": "kill", "holders": ["s0r0"]},
+    {"kind": "restart", "holders": ["s0r0"], "last": "300ms"},
+    {"kind": "silence", "holders": ["s0r0"]},
+    {"kind": "zone_loss", "zone": "lower"},
+    {"kind": "deploy", "holders": 1.0, "every": "1500ms", "pause": "300ms"},
+    {"kind": "ageing", "holders": ["s0r0"], "times": 6, "every": "500ms"},
+    {"kind": "flapping", "holders": ["s0r0"], "every": "1s"},
+    {"kind": "broker_crash", "brokers": 1.0},
+    {"kind": "poison", "of_class": "report", "share": 0.05},
+]
+
+
+def tail(script: Script) -> tuple[float, float, float]:
+    """Of the queries asked from 14 s on: share whole, median and the 90th percentile in seconds."""
+    lines: list[Line] = []
+    rehearse(script, 5, lines.append)
+    begin = min(line.at for line in lines if isinstance(line, Ask))
+    asked = {line.query: line.at for line in lines if isinstance(line, Ask) and line.at > begin + 14 * SECOND}
+    ends = {line.query: line for line in lines if isinstance(line, End) and line.query in asked}
+    took = [(line.at - asked[name]) / SECOND for name, line in ends.items()]
+    whole = sum(line.mark == "whole" for line in ends.values()) / len(asked)
+    return whole, float(np.median(took)), float(np.percentile(took, 90))
+
+
+@cache
+def calm_tail() -> tuple[float, float, float]:
+    return tail(small(length="19s"))
+
+
+@pytest.mark.parametrize("trouble", LEAVE_BEHIND, ids=[str(one["kind"]) for one in LEAVE_BEHIND])
+def test_what_troubles_leave_behind_is_gone_after_the_return(trouble: dict[str, Any]) -> None:
+    """Dead and cold ones come back: late in the day its figures are those of a day without the trouble."""
+    calm = calm_tail()
+    after = tail(small({"at": "2s", "last": "2s", **trouble}, length="19s"))
+    assert calm[0] == 1.0 and after[0] >= 0.99
+    assert after[1] <= calm[1] * 1.3 and after[2] <= calm[2] * 1.6
+
+
 def test_a_late_or_frozen_list_is_heard_of_later() -> None:
     def first_told(*troubles: dict[str, Any]) -> float:
         lines: list[Line] = []
--- a/tests/test_lab_commands.py
+++ b/tests/test_lab_commands.py
@@ -1,24 +1,32 @@
 """The laboratory on the command line: reports, comparisons, recordings, the load tool, the fault search."""
 
 import json
+import time
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
 import pytest
 from click.testing import CliRunner
 
+from quincepath.cli.lab import Ears
 from quincepath.cli.main import main
 from quincepath.config.load import load, parse
+from quincepath.fronts.remote_read.codec import encode
+from quincepath.fronts.remote_read.remote_pb2 import LabelMatcher
 from quincepath.lab.emulator.from_day import from_day
-from quincepath.lab.emulator.hunt import Find, cut_down, draw, search
-from quincepath.lab.emulator.rehearsal import rehearse
+from quincepath.lab.emulator.hunt import ALL_KINDS, Find, cut_down, draw, play, search
+from quincepath.lab.emulator.rehearsal import Outcome, rehearse
 from quincepath.lab.emulator.script import Script
 from quincepath.lab.emulator.sockets import SocketRun
-from quincepath.lab.openloop import Mix, OpenLoop
-from quincepath.lab.record import Ask, Line, Mark, read
+from quincepath.lab.emulator.staging import together
+from quincepath.lab.emulator.world import ContractBroken
+from quincepath.lab.openloop import Mix, OpenLoop, by_tenant
+from quincepath.lab.record import Ask, Halt, Line, Mark, Told, read
 from quincepath.lab.report import figure, page
 from quincepath.net.http1 import Request
 from quincepath.standins.data import END_MS
+from quincepath.standins.leaf import HEAVY, INCIDENT, POISON, Faults, Service
 from tests.world import MS, SECOND, World, ask
 
 ROOT = Path(__file__).parent.parent
@@ -110,6 +118,20 @@
     assert code == 0 and "cut inside frame" in err
 
 
+def test_rehearse_keeps_to_a_pace_and_says_how_it_goes(script: Path) -> None:
+    began = time.monotonic()
+    code, _, err = run("rehearse", str(script), "--json", "--speed", "8")
+    assert code == 0 and time.monotonic() - began >= 4 / 8 * 0.9
+    assert run("rehearse", str(script), "--speed", "0")[0] == 2
+    ears = Ears(4, None, None, keep=False)
+    lines: list[Line] = []
+    rehearse(load(script, Script), None, lines.append)
+    for line in lines:
+        ears.hear(line)
+    asked = sum(isinstance(line, Ask) for line in lines)
+    assert f"{asked} asked" in ears.summary() and "of 30 s answered" not in ears.summary()
+
+
 def test_every_example_names_staff_and_loads() -> None:
     for path in (ROOT / "examples" / "incidents").glob("*.yaml"):
         assert "taff should see" in load(path, Script).about.replace("\n", " "), path
@@ -133,9 +155,124 @@
     assert [one.kind for one in cut_down(find).script.troubles] == ["kill"]
 
 
+def test_a_broken_contract_is_a_find_and_does_not_end_the_search() -> None:
+    script = parse(SCRIPT, Script, "s")
+
+    def run_only_hangs(one: Script) -> Outcome:
+        if any(entry.kind == "hang" for entry in one.troubles):
+            raise ContractBroken("broker 0: contract broken")
+        return rehearse(one)
+
+    find = play(7, script, run_only_hangs)
+    assert find.broken and find.good == 0 and "broker 0" in find.contract
+    assert [entry.kind for entry in cut_down(find, run_only_hangs).script.troubles] == ["hang"]
+
+
 def test_a_few_drawn_days_break_no_rule() -> None:
     for find in search(range(6)):
-        assert not find.outcome.broken, (find.number, [str(f) for f in find.outcome.report.findings[:3]])
+        assert not find.broken, (
+            find.number,
+            find.contract,
+            find.outcome and find.outcome.report.findings[:3],
+        )
+
+
+ALL_ON_SOCKETS = """\
+about: every kind of trouble
+length: 13s
+brokers: 2
+fleet: {sets: 3, replicas: 2, shards: 1, ramp: 2s, cold: 0.4, kinds: [{name: big, cores: 3, speed: 1.2}]}
+traffic: {rate: 25, retries: 1}
+discovery: {lag: [50ms, 150ms]}
+classes:
+  - {name: a, share: 2, parts: [1, 3], work: 8ms, target: 800ms, deadline: 2s, need: 60%}
+  - {name: b, share: 1, parts: [1, 1], work: 8ms, target: 800ms, deadline: 2s}
+troubles:
+"""
+
+
+def test_every_kind_of_trouble_is_played_on_sockets_and_no_rule_breaks(tmp_path: Path) -> None:
+    """All kinds in one day, one after the other and over one another; the processes come back."""
+    special = {
+        "class_errors": "of_class: b",
+        "heavy_tail": "of_class: a, share: 0.1",
+        "kill": "holders: [s0r0]",
+        "poison": "of_class: b, share: 0.2",
+        "zone_loss": "zone: lower",
+    }
+    entries = [
+        f"  - {{kind: {kind}, at: {500 + 400 * place}ms, last: 700ms, every: 600ms, pause: 150ms, times: 2"
+        + (f", {special[kind]}" if kind in special else "")
+        + "}\n"
+        for place, kind in enumerate(ALL_KINDS)
+    ]
+    script = parse(ALL_ON_SOCKETS + "".join(entries), Script, "s")
+    run_ = SocketRun(script, 3, tmp_path)
+    figures = run_.play()
+    assert figures["findings"] == [] and figures["fell"] == []
+    kept = [line for _, line in read(tmp_path / "clients.jsonl")]
+    marks = [line.what for line in kept if isinstance(line, Mark)]
+    assert [one for one in marks if one.startswith("begins")] == [f"begins: {kind}" for kind in ALL_KINDS]
+    assert any("ended by itself" in one for one in marks)  # the poisoned query
+    killed = [line for line in kept if isinstance(line, Halt) and line.killed]
+    assert killed and all(line.until > line.at for line in killed)
+    assert {line.broker for line in kept if isinstance(line, Told)} == {0, 1}
+    for holder in run_.by_name.values():
+        assert holder.process is None  # none is left behind
+
+
+def test_faults_of_one_holder_add_up_while_they_overlap() -> None:
+    whole = together(
+        [Faults(slow=2.0, deaf_to=[1]), Faults(fault="errors", share=0.5, metric="m"),
+         Faults(slow=3.0, deaf_to=[0], handshake_ms=5), Faults(steal=0.3), Faults(steal=0.2, lose=0.1)]
+    )  # fmt: skip
+    assert whole == Faults(
+        "errors", 0.5, 6.0, steal=0.3, lose=0.1, metric="m", handshake_ms=5, deaf_to=[0, 1]
+    )
+    assert together([]) == Faults()
+
+
+def incident(world: World, value: str) -> Any:
+    plan = world.plan("hours-report", pattern="north.example.org")
+    plan.request.queries[0].matchers.add(type=LabelMatcher.NEQ, name=INCIDENT, value=value)
+    return replace(plan, body=encode(plan.request))
+
+
+def test_a_holder_fails_one_metric_only_and_answers_some_brokers_only(tmp_path: Path) -> None:
+    world = World(tmp_path)
+    world.faults("a0 a1", fault="errors", metric="fuel_use_liters")
+    ends = world.ask(world.plan("hours-report"), world.plan("fleet-glance", "north.example.org"))
+    assert [one.status for one in ends] == [200, 503]
+    world.faults("a0 a1", deaf_to=[7])
+    assert world.ask(world.plan("hours-report"))[0].status == 200
+    world.faults("a0 a1", deaf_to=[0])
+    assert world.ask(world.plan("hours-report"))[0].status in (502, 503, 504)
+    world.close()
+
+
+def test_a_poisoned_query_takes_down_the_holders_that_begin_it_and_a_heavy_one_takes_longer(
+    tmp_path: Path,
+) -> None:
+    world = World(tmp_path, service=Service(work=20 * MS))
+    usual, heavy = (world.ask(incident(world, value))[0].took for value in ("", f"{HEAVY}8"))
+    assert heavy > 5 * usual
+    assert not any(leaf.server.listener.closed for leaf in world.leaves.values())
+    assert world.ask(incident(world, POISON))[0].status != 200
+    assert [name for name, leaf in world.leaves.items() if leaf.server.listener.closed] != []
+    assert world.ask(world.plan("hours-report", pattern="south.example.org"))[0].status == 200
+    world.close()
+
+
+def test_slow_handshakes_hold_up_new_connections_only(tmp_path: Path) -> None:
+    world = World(tmp_path)
+    first = world.ask(world.plan("hours-report"))[0]
+    world.faults("a0 a1 b0 b1 c0 c1", handshake_ms=400)
+    assert world.ask(world.plan("hours-report"))[0].took < 300 * MS  # over connections that are open
+    fresh = World(tmp_path)
+    fresh.faults("a0 a1 b0 b1 c0 c1", handshake_ms=400)
+    assert first.took < 300 * MS < 400 * MS <= fresh.ask(fresh.plan("hours-report"))[0].took
+    world.close()
+    fresh.close()
 
 
 def mixes() -> list[Mix]:
@@ -157,6 +294,25 @@
     world.close()
 
 
+def test_load_is_spread_over_tenants_by_weight_and_each_is_named_to_the_broker(tmp_path: Path) -> None:
+    world = World(tmp_path)
+    heard: list[str] = []
+    taken = world.broker.front.read
+
+    def spy(request: Request, handle: int, name: str) -> Any:
+        heard.append(request.headers.get("x-scope-orgid", ""))
+        return taken(request, handle, name)
+
+    world.broker.front.read = spy  # type: ignore[method-assign]
+    spread = by_tenant(mixes(), {"desk": 3.0, "field": 1.0}, "X-Scope-OrgID")
+    load_run = OpenLoop(world.loop, world.broker.url, spread, 100, 2, 1, 100)
+    world.until(load_run.done)
+    rows = {row["query"]: row["whole"] for row in load_run.result.rows()}
+    assert rows == {"reports [desk]": heard.count("desk"), "reports [field]": heard.count("field")}
+    assert 2 < rows["reports [desk]"] / rows["reports [field]"] < 4.5
+    world.close()
+
+
 def test_load_beyond_the_bound_is_counted_not_dropped(tmp_path: Path) -> None:
     world = World(tmp_path)
     world.faults("a0 a1 b0 b1 c0 c1", fault="hang")
@@ -192,6 +348,7 @@
 @pytest.mark.parametrize(
     ("words", "wanted"),
     [
+        (["http://127.0.0.1:1/x", "--query", "a=b", "--tenant", "x=much"], "expected NAME or NAME=WEIGHT"),
         (["http://192.0.2.1:80/x", "--query", "a=b"], "expected an address of this machine"),
         (["http://127.0.0.1:1/x", "--query", "nonsense"], "expected LABEL=VALUE"),
         (["http://127.0.0.1:1/x", "--query", "a=b", "--rate", "0"], "expected a rate"),
@@ -280,9 +437,3 @@
         "begins: restart",
         "begins: broker_stall",
     ]
-
-
-def test_troubles_that_sockets_cannot_have_are_refused_by_name(script: Path) -> None:
-    script.write_text(SCRIPT.replace("kind: hang", "kind: one_sided"))
-    code, _, err = run("rehearse", str(script), "--sockets")
-    assert code == 2 and "not on sockets: one_sided; there are broker_stall, burst" in err
