Asks and tries: a retry joins the run of its ask and gets the one answer

A client that hears nothing asks again, most of all when everybody does; each try was a query of its own, its parts were sent again and the ask counted twice. Now tries with one key are one ask: a retry waits for the run that is on, gets the remembered answer after it, and finds a run that goes on for a moment when its connection broke. Equal requests of strangers in flight share a run, never a failure, never across scopes. Key conflicts are told (422).

Book of asks, door and driver are one pure state machine (broker/reception), called by the running broker and by the laboratory alike. The audit takes tries of one key as one ask and judges a shared answer by the run it names.

--- a/benchmarks/throughput.py
+++ b/benchmarks/throughput.py
@@ -71,6 +71,8 @@
             ],
             "classes": [{"name": "report", "target": "2s", "deadline": "10s"}],
             "limits": {"connections_per_holder": 256},
+            # All clients send the same bytes here: run each query by itself, as the fan-outs do.
+            "asks": {"share_equal": False, "remember": 0},
         }
     )
 
--- /dev/null
+++ b/quincepath/asks/book.py
@@ -0,0 +1,414 @@
+"""Which requests are tries of one ask, and what each of them is owed. Pure: no clock, no chance, no socket.
+
+A *try* is a request on a connection; it is owed exactly one final answer. An *ask* is what a client wants to
+know; it is run once by the driver, whatever the number of its tries:
+
+    no ask of this key       -> Begin: the edge gives the ask to the driver
+    the ask is running       -> Join: this try waits for its answer with the others
+    the ask was answered     -> Again: the same answer at once, for as long as it is remembered
+    the key, another body    -> Conflict, where the client vouched for its keys; else a separate ask
+
+An ask that ended without an answer is forgotten: a later try runs it anew. A request may also join an equal
+one of its scope in flight (single flight): it is a *stranger* there. It shares an answer and a refusal, but
+a failure is not its own: strangers that have time left run the ask once more, together.
+
+When the last client of a marked ask has gone, the ask runs on for ``linger``, because its retry is probably
+on the way and what is in need not be fetched again. Design and what was weighed: docs/design/asks.md.
+"""
+
+import heapq
+from collections import Counter, OrderedDict
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Generic, TypeVar
+
+R = TypeVar("R")
+
+
+@dataclass(slots=True, frozen=True)
+class BookLimits:
+    """Bounds. Times in ns, ``most_bytes`` of remembered answers, ``reserve`` for carrying an answer away."""
+
+    remember: int
+    most_remembered: int
+    most_bytes: int
+    linger: int
+    most_tries: int  # that wait for one ask
+    reserve: int
+
+
+@dataclass(slots=True, frozen=True)
+class Mark:
+    """What a client says of a try: its key in a scope. ``vouched``: the client promises one body a key."""
+
+    scope: str
+    key: str
+    vouched: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Try:
+    """One request. ``digest`` is of what is asked, with all that changes the answer but the time it may take.
+
+    ``mark`` is None where the client gave none. ``shared``: may join an equal ask in flight.
+    """
+
+    handle: int
+    scope: str
+    digest: bytes
+    deadline: int
+    mark: Mark | None = None
+    shared: bool = False
+    within: int = 0  # ns: unmarked, but an equal body of this scope so soon counts as a retry
+    name: str = ""  # for logs and records
+
+
+class How(Enum):
+    """How a try came to its ask."""
+
+    BEGAN = "began"
+    RETRY = "retry"
+    EQUAL = "equal"
+    REPLAYED = "replayed"
+
+
+@dataclass(slots=True, frozen=True)
+class Begin:
+    """Run a new ask; ``ask`` is its handle at the driver."""
+
+    ask: int
+
+
+@dataclass(slots=True, frozen=True)
+class Join:
+    """The try waits for a running ask."""
+
+    ask: int
+    how: How
+
+
+@dataclass(slots=True, frozen=True)
+class Again(Generic[R]):
+    """The answer that the ask got."""
+
+    ask: int
+    reply: R
+
+
+@dataclass(slots=True, frozen=True)
+class Conflict:
+    """The key stands for another body."""
+
+
+@dataclass(slots=True, frozen=True)
+class Crowded:
+    """As many tries wait for this ask as may."""
+
+
+Decision = Begin | Join | Again[R] | Conflict | Crowded
+
+
+@dataclass(slots=True, frozen=True)
+class Deliver:
+    """This try gets the ask's final answer."""
+
+    handle: int
+    how: How
+
+
+@dataclass(slots=True, frozen=True)
+class Restart:
+    """Run the ask anew as ``ask``, for strangers with time left; ``deadline`` is the longest of theirs."""
+
+    handle: int
+    ask: int
+    deadline: int
+    name: str
+
+
+@dataclass(slots=True, frozen=True)
+class TimeUp:
+    """This try's own time is up while its ask goes on for others: it fails alone."""
+
+    handle: int
+
+
+@dataclass(slots=True, frozen=True)
+class Drop:
+    """Nobody waits for this ask, nor will: the driver is told that its client left."""
+
+    ask: int
+
+
+@dataclass(slots=True)
+class _Waiting:
+    deadline: int
+    how: How
+    name: str
+    restarted: bool = False
+
+
+@dataclass(slots=True)
+class _Ask(Generic[R]):
+    id: int
+    scope: str
+    digest: bytes
+    began: int
+    keys: list[tuple[str, str]] = field(default_factory=list)
+    marked: bool = False
+    waiting: dict[int, _Waiting] = field(default_factory=dict)
+    orphaned: int | None = None  # since when nobody waits for it
+    reply: R | None = None
+    size: int = 0
+    until: int = 0
+
+
+class Book(Generic[R]):
+    """One a broker. ``R`` is a reply as the edge has it: kept, never looked into."""
+
+    def __init__(self, limits: BookLimits) -> None:
+        self.limits = limits
+        self.counts: Counter[str] = Counter()
+        self.bytes = 0
+        self._ids = 0
+        self._asks: dict[int, _Ask[R]] = {}  # running
+        self._answered: OrderedDict[int, _Ask[R]] = OrderedDict()  # remembered, oldest first
+        self._keys: dict[tuple[str, str], _Ask[R]] = {}
+        self._flights: dict[tuple[str, bytes], _Ask[R]] = {}
+        self._handles: dict[int, _Ask[R]] = {}
+        self._dues: list[tuple[int, int, int]] = []  # when, number in the order of making, handle or -ask
+        self._made = 0
+
+    # --- what is open ---
+
+    def running(self) -> int:
+        """Asks that the driver has."""
+        return len(self._asks)
+
+    def waiting(self) -> int:
+        """Tries that are owed an answer."""
+        return len(self._handles)
+
+    def remembered(self) -> int:
+        """Answers that are kept."""
+        return len(self._answered)
+
+    def next_due(self) -> int | None:
+        """When ``expire`` must be called at the latest."""
+        return self._dues[0][0] if self._dues else None
+
+    # --- tries ---
+
+    def find(self, now: int, attempt: Try) -> int | None:
+        """The ask, running or remembered, that this try belongs to, if there is one; nothing changes."""
+        found = self._belongs(now, attempt)
+        return found[0].id if isinstance(found, tuple) else None
+
+    def arrive(self, now: int, attempt: Try) -> "Decision[R]":
+        """A request came in. After ``Begin`` and ``Join`` the try is owed an answer."""
+        self._forget(now)
+        found = self._belongs(now, attempt)
+        if isinstance(found, Conflict):
+            self.counts["conflict"] += 1
+            return found
+        if found is None:
+            return Begin(self._begin(now, attempt).id)
+        ask, how = found
+        if ask.reply is not None:
+            self.counts[How.REPLAYED.value] += 1
+            return Again(ask.id, ask.reply)
+        if len(ask.waiting) >= self.limits.most_tries:
+            self.counts["crowded"] += 1
+            return Crowded()
+        self.counts[how.value] += 1
+        if ask.orphaned is not None:
+            ask.orphaned = None
+            self.counts["rescued"] += 1
+        self._name(ask, attempt)
+        self._wait(ask, attempt.handle, _Waiting(attempt.deadline, how, attempt.name))
+        self._due(attempt.deadline - self.limits.reserve, attempt.handle)
+        return Join(ask.id, how)
+
+    def _belongs(self, now: int, attempt: Try) -> "tuple[_Ask[R], How] | Conflict | None":
+        for key, vouched in self._names(attempt):
+            ask = self._keys.get(key)
+            if ask is None or (ask.reply is not None and ask.until <= now):
+                continue
+            if ask.digest != attempt.digest:
+                if vouched:
+                    return Conflict()
+                continue  # an id that is used twice: two asks
+            if attempt.mark is None and now > ask.began + attempt.within:
+                continue
+            return ask, How.RETRY
+        if attempt.shared:
+            ask = self._flights.get((attempt.scope, attempt.digest))
+            if ask is not None:
+                return ask, How.EQUAL
+        return None
+
+    @staticmethod
+    def _names(attempt: Try) -> list[tuple[tuple[str, str], bool]]:
+        """The keys under which a try is known."""
+        names = []
+        if attempt.mark is not None:
+            names.append(((attempt.mark.scope, f"key {attempt.mark.key}"), attempt.mark.vouched))
+        elif attempt.within:
+            names.append(((attempt.scope, f"body {attempt.digest.hex()}"), False))
+        return names
+
+    def _begin(self, now: int, attempt: Try) -> _Ask[R]:
+        self._ids += 1
+        ask: _Ask[R] = _Ask(self._ids, attempt.scope, attempt.digest, now)
+        self._asks[ask.id] = ask
+        self._name(ask, attempt)
+        if attempt.shared:
+            self._flights.setdefault((attempt.scope, attempt.digest), ask)
+        self.counts[How.BEGAN.value] += 1
+        self._wait(ask, attempt.handle, _Waiting(attempt.deadline, How.BEGAN, attempt.name))
+        return ask
+
+    def _name(self, ask: _Ask[R], attempt: Try) -> None:
+        """From now on tries with this one's key belong to the ask, a stranger's own retries among them."""
+        for key, _ in self._names(attempt):
+            old = self._keys.get(key)
+            if old is not None and old.reply is not None and old is not ask:
+                self._drop_answer(old)
+            if len(ask.keys) < self.limits.most_tries and self._keys.setdefault(key, ask) is ask:
+                if key not in ask.keys:
+                    ask.keys.append(key)
+                ask.marked = ask.marked or attempt.mark is not None
+
+    def _wait(self, ask: _Ask[R], handle: int, waiting: _Waiting) -> None:
+        ask.waiting[handle] = waiting
+        self._handles[handle] = ask
+
+    def left(self, now: int, handle: int) -> Drop | None:
+        """The client of a try has gone. ``Drop``: so has the last of its ask, and no retry is waited for."""
+        ask = self._handles.pop(handle, None)
+        if ask is None:
+            return None
+        del ask.waiting[handle]
+        if ask.waiting:
+            return None
+        if ask.marked and self.limits.linger:
+            ask.orphaned = now
+            self._due(now + self.limits.linger, -ask.id)
+            return None
+        return self._abandon(ask)
+
+    def _abandon(self, ask: _Ask[R]) -> Drop:
+        self.counts["dropped"] += 1
+        self._end(ask)
+        return Drop(ask.id)
+
+    # --- time ---
+
+    def expire(self, now: int) -> list[TimeUp | Drop]:
+        """Tries and orphaned asks whose time is up by now; in the order of their times."""
+        found: list[TimeUp | Drop] = []
+        while self._dues and self._dues[0][0] <= now:
+            _, _, what = heapq.heappop(self._dues)
+            if what > 0:
+                ask = self._handles.get(what)
+                if ask is not None and ask.waiting[what].how is not How.BEGAN:
+                    del self._handles[what], ask.waiting[what]
+                    self.counts["time up alone"] += 1
+                    found.append(TimeUp(what))
+                    if not ask.waiting:
+                        found.append(self._abandon(ask))
+            else:
+                ask = self._asks.get(-what)
+                if ask is not None and ask.orphaned is not None and now >= ask.orphaned + self.limits.linger:
+                    found.append(self._abandon(ask))
+        self._forget(now)
+        return found
+
+    def _due(self, when: int, what: int) -> None:
+        self._made += 1
+        heapq.heappush(self._dues, (when, self._made, what))
+
+    # --- endings ---
+
+    def finish(
+        self, now: int, ask_id: int, reply: R, size: int, answered: bool, failed: bool
+    ) -> list[Deliver | Restart]:
+        """The driver ended an ask: who gets the reply. Refused is neither answered nor failed."""
+        ask = self._asks.get(ask_id)
+        if ask is None:
+            return []
+        self._end(ask)
+        orders: list[Deliver | Restart] = []
+        again: list[tuple[int, _Waiting]] = []
+        for handle, waiting in ask.waiting.items():
+            del self._handles[handle]
+            late = waiting.deadline - self.limits.reserve <= now
+            if failed and waiting.how is How.EQUAL and not waiting.restarted and not late:
+                again.append((handle, waiting))
+            else:
+                orders.append(Deliver(handle, waiting.how))
+        if again:
+            orders.append(self._restart(now, ask, again))
+        if answered and ask.marked:
+            self._remember(now, ask, reply, size)
+        return orders
+
+    def _restart(self, now: int, old: _Ask[R], again: list[tuple[int, _Waiting]]) -> Restart:
+        """One more run for strangers: the one with the most time leads, the others wait with it."""
+        lead = max(again, key=lambda one: (one[1].deadline, -one[0]))
+        self._ids += 1
+        ask: _Ask[R] = _Ask(self._ids, old.scope, old.digest, now)
+        self._asks[ask.id] = ask
+        ask.keys, ask.marked = old.keys, old.marked
+        self._keys.update(dict.fromkeys(ask.keys, ask))
+        self._flights.setdefault((old.scope, old.digest), ask)
+        for handle, waiting in again:
+            leads = handle == lead[0]
+            how = How.BEGAN if leads else How.EQUAL
+            self._wait(ask, handle, _Waiting(waiting.deadline, how, waiting.name, True))
+            if not leads:
+                self._due(waiting.deadline - self.limits.reserve, handle)
+        self.counts["restarted"] += 1
+        return Restart(lead[0], ask.id, lead[1].deadline, lead[1].name)
+
+    def _end(self, ask: _Ask[R]) -> None:
+        """It runs no more; its keys are free unless its answer is remembered."""
+        self._asks.pop(ask.id, None)
+        flight = (ask.scope, ask.digest)
+        if self._flights.get(flight) is ask:
+            del self._flights[flight]
+        for key in ask.keys:
+            if self._keys.get(key) is ask:
+                del self._keys[key]
+
+    # --- memory ---
+
+    def _remember(self, now: int, ask: _Ask[R], reply: R, size: int) -> None:
+        limits = self.limits
+        if not limits.remember or size > limits.most_bytes or not limits.most_remembered:
+            self.counts["not remembered"] += 1
+            return
+        ask.reply, ask.size, ask.until = reply, size, now + limits.remember
+        ask.waiting = {}
+        for key in ask.keys:
+            self._keys[key] = ask
+        self._answered[ask.id] = ask
+        self.bytes += size
+        while len(self._answered) > limits.most_remembered or self.bytes > limits.most_bytes:
+            self.counts["forgotten early"] += 1
+            self._drop_answer(next(iter(self._answered.values())))
+
+    def _drop_answer(self, ask: _Ask[R]) -> None:
+        if self._answered.pop(ask.id, None) is None:
+            return
+        self.bytes -= ask.size
+        for key in ask.keys:
+            if self._keys.get(key) is ask:
+                del self._keys[key]
+
+    def _forget(self, now: int) -> None:
+        while self._answered:
+            ask = next(iter(self._answered.values()))
+            if ask.until > now:
+                return
+            self._drop_answer(ask)
--- /dev/null
+++ b/quincepath/broker/reception.py
@@ -0,0 +1,165 @@
+"""Tries in, answers out: the book of asks, the door and the driver as one pure state machine.
+
+What runs on sockets and what runs in the laboratory differ in who calls this and who carries the orders out.
+``C`` is what the edge wants to know again of an ask (its plan), ``R`` is a reply as the edge sends it.
+
+    arrive(now, try, ask, context)  a request; the decision says whether it is owed an answer later
+    left(now, handle)               its client has gone
+    note(input)                     what else came in: ends of attempts, news of the list
+    step(now)                       one batch to the module; orders, among them ``Owed`` and ``AskEnded``
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Generic, TypeVar
+
+from quincepath.asks.book import Begin, Decision, Drop, How, Restart, Try
+from quincepath.asks.desk import Desk
+from quincepath.broker.asks import Arrived, Ask, ClientLeft, Finish, Input, Order, Verdict
+from quincepath.broker.driver import Driver
+from quincepath.limits.door import TurnAway
+
+C = TypeVar("C")
+R = TypeVar("R")
+
+
+@dataclass(slots=True, frozen=True)
+class Rendered(Generic[R]):
+    """A final answer as the edge sends it, its size in bytes, and how it counts."""
+
+    reply: R
+    size: int
+    verdict: Verdict
+
+
+Render = Callable[[Finish, C], Rendered[R]]
+
+
+@dataclass(slots=True, frozen=True)
+class Owed(Generic[R]):
+    """Send this to the try: its one final answer. No reply: its own time is up while its ask goes on."""
+
+    handle: int
+    reply: R | None
+    how: How
+    run: str  # under which name the ask's parts went to holders
+
+
+@dataclass(slots=True, frozen=True)
+class AskEnded(Generic[C, R]):
+    """An ask is over, once, whatever the number of its tries; without ``finish`` all its clients had left."""
+
+    context: C
+    name: str
+    finish: Finish | None
+    reply: R | None
+    tries: int
+
+
+@dataclass(slots=True)
+class _Running(Generic[C]):
+    ask: Ask
+    context: C
+
+
+class Reception(Generic[C, R]):
+    """One a broker."""
+
+    def __init__(self, driver: Driver, desk: Desk[R], render: Render[C, R]) -> None:
+        self.driver, self.desk, self.render = driver, desk, render
+        self._running: dict[int, _Running[C]] = {}
+        self._inbox: list[Input] = []
+        self._arriving = 0  # queries and parts in the inbox
+        self._ended: list[AskEnded[C, R]] = []
+
+    def open_work(self) -> int:
+        """Queries and parts held or on their way in: a burst in one turn must not slip in uncounted."""
+        return self.driver.open_work() + self._arriving
+
+    def running(self) -> int:
+        """Asks that have not ended."""
+        return len(self._running)
+
+    def known(self, now: int, attempt: Try) -> tuple[bool, C | None]:
+        """Whether the try belongs to an ask that is known, and the context of that ask while it runs."""
+        ask = self.desk.known(now, attempt)
+        running = self._running.get(ask) if ask is not None else None
+        return ask is not None, running.context if running else None
+
+    def arrive(self, now: int, attempt: Try, ask: Ask | None, context: C | None) -> "Decision[R] | TurnAway":
+        """A request; ``ask`` and ``context`` are needed only where it is not known. ``Begin`` has begun."""
+        work = 1 + len(ask.parts) if ask else 0
+        decision = self.desk.arrive(now, attempt, self.open_work(), work)
+        if isinstance(decision, Begin):
+            if ask is None or context is None:
+                raise ValueError("a try of an unknown ask came without what to run")
+            self._begin(replace(ask, handle=decision.ask), context)
+        return decision
+
+    def _begin(self, ask: Ask, context: C) -> None:
+        self._running[ask.handle] = _Running(ask, context)
+        self._arriving += 1 + len(ask.parts)
+        self._inbox.append(Arrived(ask))
+
+    def left(self, now: int, handle: int) -> None:
+        """The client of a try has gone."""
+        drop = self.desk.book.left(now, handle)
+        if drop is not None:
+            self._drop(drop)
+
+    def _drop(self, drop: Drop) -> None:
+        running = self._running.pop(drop.ask, None)
+        if running is not None:
+            self._inbox.append(ClientLeft(drop.ask))
+            self._ended.append(AskEnded(running.context, running.ask.name, None, None, 0))
+
+    def note(self, item: Input) -> None:
+        """Something else came in; it is in the next batch."""
+        self._inbox.append(item)
+
+    def due(self, now: int) -> bool:
+        """Whether a step is due."""
+        when = self.next_due()
+        return when is not None and when <= now
+
+    def next_due(self) -> int | None:
+        """When ``step`` must be called at the latest; now, as 0, where something is in the inbox."""
+        if self._inbox or self._ended:
+            return 0
+        dues = [due for due in (self.driver.next_due(), self.desk.book.next_due()) if due is not None]
+        return min(dues, default=None)
+
+    def step(self, now: int) -> list[Order | Owed[R] | AskEnded[C, R]]:
+        """One batch: what came in, what is due, and what the module makes of it."""
+        orders: list[Order | Owed[R] | AskEnded[C, R]] = []
+        inbox, self._inbox, self._arriving = self._inbox, [], 0
+        # Replies of this batch come first: a try whose time is up now gets the answer that is there.
+        for order in self.driver.step(now, inbox):
+            if isinstance(order, Finish):
+                self._finish(now, order, orders)
+            else:
+                orders.append(order)
+        for expired in self.desk.book.expire(now):
+            if isinstance(expired, Drop):
+                self._drop(expired)
+            else:
+                orders.append(Owed(expired.handle, None, How.RETRY, ""))
+        ended, self._ended = self._ended, []
+        return [*orders, *ended]
+
+    def _finish(self, now: int, finish: Finish, orders: list[Order | Owed[R] | AskEnded[C, R]]) -> None:
+        running = self._running.pop(finish.handle, None)
+        if running is None:
+            return
+        said = self.render(finish, running.context)
+        answered, failed = said.verdict is Verdict.ANSWERED, said.verdict is Verdict.FAILED
+        owed = self.desk.book.finish(now, finish.handle, said.reply, said.size, answered, failed)
+        for one in owed:
+            if isinstance(one, Restart):
+                time_left = one.deadline - now
+                name = one.name or running.ask.name
+                again = replace(running.ask, handle=one.ask, time_left=time_left, repeat=False, name=name)
+                self._begin(again, running.context)
+            else:
+                orders.append(Owed(one.handle, said.reply, one.how, running.ask.name))
+        orders.append(AskEnded(running.context, running.ask.name, finish, said.reply, len(owed)))
--- a/quincepath/broker/service.py
+++ b/quincepath/broker/service.py
@@ -7,17 +7,17 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
+from quincepath.asks.book import Again, Begin, Conflict, Crowded, How, Join
+from quincepath.asks.desk import Desk
 from quincepath.broker.asks import (
-    Arrived,
+    Ask,
     Breach,
-    ClientLeft,
     Ended,
     Finish,
-    Input,
     Listed,
     ReadList,
     StartCall,
@@ -26,11 +26,19 @@
     Verdict,
 )
 from quincepath.broker.driver import Driver, Module
-from quincepath.config.schema import Config, module_settings
-from quincepath.fronts.remote_read.front import RemoteReadFront, Reply, name_of
-from quincepath.fronts.remote_read.plan import Plan
+from quincepath.broker.reception import AskEnded, Owed, Reception, Rendered
+from quincepath.config.schema import Config, book_limits, module_settings
+from quincepath.fronts.remote_read.front import (
+    JOINED_HEADER,
+    RUN_HEADER,
+    RemoteReadFront,
+    Reply,
+    name_of,
+    text_reply,
+)
+from quincepath.fronts.remote_read.plan import BadRequest, Plan
 from quincepath.interface import Members, NodeId, Settings
-from quincepath.limits.door import Bounds, Door, TurnAway
+from quincepath.limits.door import Bounds, TurnAway
 from quincepath.membership.source import ListSource
 from quincepath.net.http1 import Limits
 from quincepath.net.loop import Loop, Timer
@@ -48,10 +56,10 @@
 
 @dataclass(slots=True)
 class _Open:
+    """A try that is owed an answer."""
+
     exchange: Exchange
-    plan: Plan
     name: str
-    kind: str
 
 
 class Broker:
@@ -73,8 +81,11 @@
         settings = module_settings(config)
         seed = config.broker.seed or time.time_ns()
         module = make_module(settings, seed)
-        self.door = Door(Bounds(config.limits.max_open, config.limits.max_retry_after), seed)
+        bounds = Bounds(config.limits.max_open, config.limits.max_retry_after)
+        desk: Desk[Reply] = Desk(book_limits(config.asks, config.broker.tick), bounds, seed)
+        self.door = desk.door
         self.driver = Driver(module, settings, config.rules.drain_grace)
+        self.reception: Reception[Plan, Reply] = Reception(self.driver, desk, self._render)
         self.front = RemoteReadFront(config, self.map)
         self.upstream = Upstream(
             loop,
@@ -88,8 +99,6 @@
             self._path,
             self._ended,
         )
-        self.inbox: list[Input] = []
-        self.arriving = 0  # queries and parts in the inbox
         self.open: dict[int, _Open] = {}
         self.stopping = False
         self.on_stopped: Callable[[], None] | None = None
@@ -126,36 +135,60 @@
 
     def _request(self, exchange: Exchange) -> None:
         self._handles += 1
-        handle = self._handles
-        name = name_of(exchange.request, handle)
-        if self.door.stopping:
-            away = self.door.admit(self.loop.now, 0, 0)
-            if away is not None:
-                self._turn_away(exchange, away, name)
-                return
+        handle, now, request = self._handles, self.loop.now, exchange.request
+        name = name_of(request, handle)
+        attempt = self.front.identify(request, handle, exchange.peer.address)
+        known, plan = self.reception.known(now, attempt)
+        ask: Ask | None = None
+        if self.door.stopping and not known:
+            self._turn_away(exchange, self.door.turn_away("stopping"), name)
+            return
         try:
-            found = self.front.read(exchange.request, handle, name)
-        except Exception:  # guards the other queries against one that meets a fault of this program
-            found = self._internal(name)
-        if isinstance(found, Reply):
-            if found.verdict is None:
-                self.metrics.bad.labels(str(found.status)).inc()
-                self.log.info(
-                    "bad request", query=name, status=found.status, cause=found.body.decode().strip()
-                )
-            exchange.respond(found.status, found.headers, found.body)
+            if not known:
+                found = self.front.read(request, handle, name)
+                if isinstance(found, Reply):
+                    self._at_once(exchange, found, name)
+                    return
+                ask, plan = found
+            # A known ask's bytes have been read and planned already; only the client's time is its own.
+            time_left = self.front.time_left(request, plan) if plan is not None else 0
+        except BadRequest as error:
+            self._at_once(exchange, text_reply(400, str(error)), name)
             return
-        ask, plan = found
-        work = 1 + len(ask.parts)
-        # What came in this turn is not the driver's yet: a burst must not slip in uncounted.
-        away = self.door.admit(self.loop.now, self.driver.open_work() + self.arriving, work)
-        if away is not None:
-            self._turn_away(exchange, away, name)
+        except Exception:  # guards the other queries against one that meets a fault of this program
+            self._at_once(exchange, self._internal(name), name)
             return
-        self.open[handle] = _Open(exchange, plan, name, plan.entry.name)
-        exchange.on_left = lambda: self._left(handle)
-        self.arriving += work
-        self.inbox.append(Arrived(ask))
+        attempt = replace(attempt, deadline=now + time_left, name=name)
+        decision = self.reception.arrive(now, attempt, ask, plan)
+        match decision:
+            case TurnAway():
+                self._turn_away(exchange, decision, name)
+            case Conflict():
+                reply = text_reply(422, "this idempotency key was used for another request body")
+                self._at_once(exchange, reply, name)
+            case Crowded():
+                self._turn_away(exchange, self.door.turn_away("too many tries wait for this ask"), name)
+            case Again(reply=said):
+                self._answer(exchange, said, How.REPLAYED)
+            case Join() | Begin():
+                self.open[handle] = _Open(exchange, name)
+                exchange.on_left = lambda: self._left(handle)
+
+    def _at_once(self, exchange: Exchange, reply: Reply, name: str) -> None:
+        """The reply to a request that becomes no ask."""
+        if reply.verdict is None:
+            self.metrics.bad.labels(str(reply.status)).inc()
+            self.log.info("bad request", query=name, status=reply.status, cause=reply.body.decode().strip())
+        exchange.respond(reply.status, reply.headers, reply.body)
+
+    def _answer(self, exchange: Exchange, reply: Reply, how: How, run: str = "") -> None:
+        """Send a final answer to one try; ``run`` is the name of the try whose run it shares."""
+        exchange.on_left = None
+        joined = {} if how is How.BEGAN else {JOINED_HEADER: how.value}
+        if joined and run:
+            joined[RUN_HEADER] = run
+        self.metrics.tries.labels(how.value).inc()
+        exchange.respond(reply.status, {**reply.headers, **joined}, reply.body)
 
     def _internal(self, name: str) -> Reply:
         self.metrics.internal.inc()
@@ -171,9 +204,9 @@
     def _left(self, handle: int) -> None:
         held = self.open.pop(handle, None)
         if held is not None:
-            self.inbox.append(ClientLeft(handle))
-            self.metrics.answers.labels(held.kind, "left").inc()
-            self.log.info("client left", query=held.name, **{"class": held.kind})
+            self.metrics.tries.labels("left").inc()
+            self.log.info("client left", query=held.name)
+            self.reception.left(self.loop.now, handle)
 
     def _metrics_request(self, exchange: Exchange) -> None:
         if exchange.request.path != "/metrics":
@@ -207,7 +240,7 @@
             self._told(news)
 
     def _told(self, news: Members) -> None:
-        self.inbox.append(Listed(news))
+        self.reception.note(Listed(news))
         for entry in news.entries:
             if entry.phase.name != "READY":
                 self.upstream.close_node(entry.node)
@@ -219,29 +252,24 @@
     # --- the driver ---
 
     def _ended(self, ended: Ended) -> None:
-        self.inbox.append(ended)
+        self._count_attempt(ended)
+        self.reception.note(ended)
 
     def _turn(self) -> None:
         """The turn hook: one batch to the driver, its orders to the edge."""
-        due = self.driver.next_due()
-        if self.inbox or (due is not None and due <= self.loop.now):
+        if self.reception.due(self.loop.now):
             began = time.monotonic_ns()
-            inbox, self.inbox, self.arriving = self.inbox, [], 0
-            for item in inbox:
-                if isinstance(item, Ended):
-                    self._count_attempt(item)
-            for order in self.driver.step(self.loop.now, inbox):
+            for order in self.reception.step(self.loop.now):
                 self._carry_out(order)
             self.metrics.lag.observe((time.monotonic_ns() - began) / 1e9)
-            due = self.driver.next_due()
-        if self.inbox:
-            due = self.loop.now
+        due = self.reception.next_due()
         if due is not None and (self._due is None or self._due.call is None or due < self._due_at):
             if self._due is not None:
                 self._due.cancel()
-            self._due_at = due
-            self._due = self.loop.call_at(due, lambda: None)  # ends the wait; the hook does the rest
-        if self.stopping and not self.open and not self.server.peers and self.on_stopped is not None:
+            self._due_at = max(due, self.loop.now)
+            self._due = self.loop.call_at(self._due_at, lambda: None)  # ends the wait; the hook does the rest
+        idle = not self.open and not self.reception.running() and not self.server.peers
+        if self.stopping and idle and self.on_stopped is not None:
             done, self.on_stopped = self.on_stopped, None
             done()
 
@@ -264,8 +292,10 @@
                 self.upstream.start(order)
             case StopAttempt(part, attempt):
                 self.upstream.stop(part, attempt)
-            case Finish():
-                self._finish(order)
+            case Owed():
+                self._owed(order)
+            case AskEnded():
+                self._ask_ended(order)
             case Told(text):
                 self.log.warning("module", text=text)
             case Breach(name, detail):
@@ -274,28 +304,42 @@
             case ReadList():
                 self.read_list(force=True)
 
-    def _finish(self, finish: Finish) -> None:
-        held = self.open.pop(finish.handle, None)
+    def _render(self, finish: Finish, plan: Plan) -> Rendered[Reply]:
+        try:
+            reply = self.front.write(finish, plan)
+        except Exception:  # the ask's tries are still owed their answers
+            reply = self._internal(f"ask {finish.handle}")
+        return Rendered(reply, len(reply.body), reply.verdict or Verdict.FAILED)
+
+    def _owed(self, owed: Owed[Reply]) -> None:
+        held = self.open.pop(owed.handle, None)
         if held is None:
             return
-        try:
-            reply = self.front.write(finish, held.plan)
-        except Exception:  # the query is still owed its one answer
-            reply = self._internal(held.name)
+        if owed.reply is not None:
+            self._answer(held.exchange, owed.reply, owed.how, owed.run)
+            return
         held.exchange.on_left = None
-        held.exchange.respond(reply.status, reply.headers, reply.body)
+        self.metrics.tries.labels("time up").inc()
+        held.exchange.text(504, "failed: time is up")
+
+    def _ask_ended(self, ended: AskEnded[Plan, Reply]) -> None:
+        kind, finish, reply = ended.context.entry.name, ended.finish, ended.reply
+        if finish is None or reply is None:
+            self.metrics.answers.labels(kind, "left").inc()
+            return
         answer = reply.verdict.value if reply.verdict else "failed"
         if reply.verdict is Verdict.ANSWERED:
             answer = "whole" if finish.whole else "partial"
-        self.metrics.answers.labels(held.kind, answer).inc()
-        self.metrics.seconds.labels(held.kind).observe(finish.took / 1e9)
+        self.metrics.answers.labels(kind, answer).inc()
+        self.metrics.seconds.labels(kind).observe(finish.took / 1e9)
         if reply.stats is not None:
             self.metrics.duplicates.inc(reply.stats.duplicates)
             self.metrics.conflicts.inc(reply.stats.conflicts)
         self.log.info(
-            "final answer", query=held.name, answer=answer, parts=f"{finish.parts_in}/{finish.parts_asked}",
+            "final answer", query=ended.name, answer=answer, tries=ended.tries,
+            parts=f"{finish.parts_in}/{finish.parts_asked}",
             attempts=finish.attempts, ms=round(finish.took / 1e6, 1), cause=finish.cause, status=reply.status,
-            **{"class": held.kind},
+            **{"class": kind},
         )  # fmt: skip
 
     # --- stopping ---
--- a/quincepath/cli/lab.py
+++ b/quincepath/cli/lab.py
@@ -106,8 +106,11 @@
     "overload_for",
     "budget_window",
     "lag",
+    "remember",
+    "linger",
+    "unmarked_within",
 }
-SIZES = {"max_answer", "max_merged"}
+SIZES = {"max_answer", "max_merged", "most_bytes"}
 
 
 def _durations_back(node: Any) -> None:
--- a/quincepath/config/schema.py
+++ b/quincepath/config/schema.py
@@ -7,6 +7,7 @@
 import re2
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, model_validator
 
+from quincepath.asks.book import BookLimits
 from quincepath.config.values import Duration, Share, Size
 from quincepath.interface import Effect, Limits, QueryClass, Rules, Settings
 
@@ -204,6 +205,21 @@
     budget_ratio: float = Field(0.0, ge=0)
 
 
+class AsksEntry(Model):
+    """Which requests are tries of one ask. Of several headers, the first that is there counts."""
+
+    key_headers: list[Name] = ["Idempotency-Key"]  # vouched for: one body a key
+    id_headers: list[Name] = ["X-Request-Id"]  # an id may come again with another body: another ask
+    scope_header: Name = "X-Scope-OrgID"  # asks of different scopes are never one
+    remember: Duration = 10 * SECOND  # a marked ask's answer, for tries that come after it
+    most_remembered: Count = 10_000
+    most_bytes: Size = 64 << 20  # of remembered answers
+    linger: Duration = 300 * MS  # a marked ask runs on for a retry when its last client has gone
+    most_tries: Count = 64  # that wait for one ask
+    unmarked_within: Duration = 0  # equal bodies of one address so soon are tries of one ask; 0: never
+    share_equal: bool = True  # equal requests in flight are run once
+
+
 class BrokerEntry(Model):
     """This broker among its peers. ``tick`` is the reserve for carrying an answer to its client."""
 
@@ -235,6 +251,7 @@
     classes: list[ClassEntry] = Field(min_length=1)
     limits: LimitsEntry = LimitsEntry()
     rules: RulesEntry = RulesEntry()
+    asks: AsksEntry = AsksEntry()
     timeout_header: Name = "X-Quincepath-Timeout"
     repeat_header: Name = "Retry-Attempt"
 
@@ -261,6 +278,18 @@
             )
 
 
+def book_limits(asks: AsksEntry, tick: int) -> BookLimits:
+    """What the book of asks and tries is bound to."""
+    return BookLimits(
+        remember=asks.remember,
+        most_remembered=asks.most_remembered,
+        most_bytes=asks.most_bytes,
+        linger=asks.linger,
+        most_tries=asks.most_tries,
+        reserve=tick,
+    )
+
+
 def zones(config: Config, more: list[Holder]) -> dict[str, int]:
     """Positions of zone names: this broker's first, the rest by name."""
     names = {holder.zone for holder in [*config.holders, *more]} - {config.broker.zone}
--- a/quincepath/fronts/remote_read/front.py
+++ b/quincepath/fronts/remote_read/front.py
@@ -8,9 +8,11 @@
     bad        400, 404, 405, 413, 415: plain text that names what is wrong
 """
 
+import hashlib
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from quincepath.asks.book import Mark, Try
 from quincepath.broker.asks import Ask, Finish, Verdict
 from quincepath.config.schema import Config
 from quincepath.config.values import parse_duration
@@ -24,6 +26,8 @@
 ANSWER_HEADER = "Quincepath-Answer"
 PARTS_HEADER = "Quincepath-Parts"
 QUERY_HEADER = "X-Request-Id"
+JOINED_HEADER = "Quincepath-Joined"  # retry, equal or replayed: this try did not run by itself
+RUN_HEADER = "Quincepath-Run"  # the id of the request whose run it shared
 LONGEST_NAME = 128
 MS = 1_000_000
 
@@ -71,7 +75,7 @@
             if accepted and ReadRequest.SAMPLES not in accepted:
                 return text_reply(415, "only SAMPLES answers are served, and the request accepts none")
             plan = self.planner.plan(message)
-            time_left = self._time(request, plan)
+            time_left = self.time_left(request, plan)
         except (CodecError, BadRequest) as error:
             return text_reply(400, str(error))
         if not plan.parts:
@@ -82,7 +86,23 @@
             handle, plan.kind, time_left, plan.parts, repeat=repeat, follow=plan.follow, name=name
         ), plan
 
-    def _time(self, request: Request, plan: Plan) -> int:
+    def identify(self, request: Request, handle: int, address: str) -> Try:
+        """What the request says of the ask that it is a try of; its deadline is not known yet."""
+        asks, headers = self.config.asks, request.headers
+        scope = headers.get(asks.scope_header.lower(), "")
+        mark = None
+        for vouched, names in ((True, asks.key_headers), (False, asks.id_headers)):
+            for name in names:
+                key = headers.get(name.lower(), "").strip()
+                if key and mark is None:
+                    mark = Mark(scope, key[:LONGEST_NAME], vouched and len(key) <= LONGEST_NAME)
+        # An address is part of the digest only where it alone says whose tries they are.
+        owner = address if mark is None and asks.unmarked_within else ""
+        digest = hashlib.blake2b(request.body, digest_size=16, key=owner.encode()[:64]).digest()
+        return Try(handle, scope, digest, 0, mark, asks.share_equal and not owner, asks.unmarked_within)
+
+    def time_left(self, request: Request, plan: Plan) -> int:
+        """How long the client waits (ns), by header or class. Raises ``BadRequest``."""
         deadline = plan.entry.deadline
         asked = request.headers.get(self.config.timeout_header.lower())
         if asked is None:
--- a/quincepath/lab/emulator/script.py
+++ b/quincepath/lab/emulator/script.py
@@ -4,7 +4,7 @@
 
 from pydantic import Field, model_validator
 
-from quincepath.config.schema import MS, SECOND, LimitsEntry, Model, Name, RulesEntry
+from quincepath.config.schema import MS, SECOND, AsksEntry, LimitsEntry, Model, Name, RulesEntry
 from quincepath.config.values import Duration, Share
 
 KINDS = Literal[
@@ -70,6 +70,7 @@
     wait: Duration = 200 * MS  # before a retry, doubled each time
     patience: tuple[float, float] = (0.6, 1.0)  # of the deadline, until a try is given up
     honour: Share = 0.8  # of clients that keep to Retry-After
+    marks: bool = True  # a client's tries carry one key
 
 
 class Network(Model):
@@ -116,6 +117,7 @@
     network: Network = Network()
     discovery: Discovery = Discovery()
     limits: LimitsEntry = LimitsEntry()
+    asks: AsksEntry = AsksEntry()
     rules: RulesEntry = RulesEntry()
     troubles: list[TroubleEntry] = []
 
--- a/quincepath/lab/emulator/sockets.py
+++ b/quincepath/lab/emulator/sockets.py
@@ -10,6 +10,7 @@
 
 from ruamel.yaml import YAML
 
+from quincepath.config.schema import AsksEntry
 from quincepath.fronts.remote_read.codec import encode
 from quincepath.fronts.remote_read.remote_pb2 import LabelMatcher, ReadRequest
 from quincepath.lab.audit import Report, audit
@@ -126,6 +127,7 @@
                 }
                 for n, entry in enumerate(self.script.classes)
             ],
+            "asks": _plain(self.script.asks),
             "limits": {
                 "attempts": limits.attempts,
                 "second_copies": limits.second_copies,
@@ -202,6 +204,7 @@
                 0.0,
                 self.script.brokers,
                 SLACK,
+                self.script.asks.linger,
             )
         )
 
@@ -303,6 +306,8 @@
         patience = max(min(int(entry.deadline * share), left), 1)
         client = alive[int(self.chance() * len(alive))]
         plan = self._plan(kind, shards, meant, patience)
+        if traffic.marks:
+            plan.headers["Idempotency-Key"] = name
         if tries:
             plan.headers["Retry-Attempt"] = str(tries)
 
@@ -324,3 +329,11 @@
             self.loop.call_in(int(wait), lambda: self._try(name, kind, shards, meant, tries + 1, began))
 
         client.ask(f"{name}.{tries}", plan, ended)
+
+
+def _plain(asks: AsksEntry) -> dict[str, Any]:
+    """The entry as a file would hold it."""
+    values = asks.model_dump()
+    for name in ("remember", "linger", "unmarked_within"):
+        values[name] = f"{values[name]}ns"
+    return {**values, "most_bytes": f"{values['most_bytes']}B"}
--- a/quincepath/lab/load.py
+++ b/quincepath/lab/load.py
@@ -96,7 +96,8 @@
         self.open += 1
         began = self.loop.clock()
         if self.record:
-            self.record.write(Ask(began, name, plan.kind, plan.shards, plan.patience, self.broker))
+            ask = plan.headers.get("Idempotency-Key", "")
+            self.record.write(Ask(began, name, plan.kind, plan.shards, plan.patience, self.broker, ask))
         over = False
 
         def end(status: int, response: Response | None) -> None:
@@ -186,4 +187,5 @@
     return End(
         now, name, status, response.headers.get("quincepath-answer", ""), int(inside), int(asked),
         int(response.headers.get("quincepath-retry-after-ms", "0")),
+        response.headers.get("quincepath-joined", ""), response.headers.get("quincepath-run", ""),
     )  # fmt: skip
--- a/quincepath/lab/record.py
+++ b/quincepath/lab/record.py
@@ -45,6 +45,7 @@
     budget_ratio: float
     brokers: int
     slack: int
+    linger: int = 0  # a marked ask may run on for so long after its last client has gone
 
 
 class Ask(msgspec.Struct, tag="ask", frozen=True):
@@ -56,6 +57,7 @@
     shards: list[int]
     patience: int
     broker: int = 0
+    ask: str = ""  # the client's key of what it wants to know: tries with the same one are one ask
 
 
 class End(msgspec.Struct, tag="end", frozen=True):
@@ -68,6 +70,8 @@
     parts_in: int = 0
     parts_asked: int = 0
     retry_ms: int = 0
+    joined: str = ""  # how this try shared a run, as the broker said: retry, equal or replayed
+    run: str = ""  # the query whose run it shared
 
 
 class Up(msgspec.Struct, tag="up", frozen=True):
--- a/quincepath/limits/door.py
+++ b/quincepath/limits/door.py
@@ -25,7 +25,7 @@
 
 @dataclass(slots=True, frozen=True)
 class TurnAway:
-    """Not taken; ``cause`` is one of two, ``retry_in`` is ns."""
+    """Not taken; ``cause`` is one of a few, ``retry_in`` is ns."""
 
     cause: str
     retry_in: int
@@ -47,14 +47,24 @@
     def admit(self, now: int, held: int, work: int) -> TurnAway | None:
         """None: take it. ``held`` queries and parts are open or on their way in, this one adds ``work``."""
         if self.stopping:
-            return TurnAway("stopping", self._spread(STOPPING_WAIT))
+            return self.shut(now, "stopping")
         if held + work <= self.bounds.open_work:
             return None
+        return self.shut(now, "too much open")
+
+    def shut(self, now: int, cause: str) -> TurnAway:
+        """Turn away, for whatever cause: the advice is the longer, the longer it has been so."""
+        if self.stopping:
+            return TurnAway("stopping", self._spread(STOPPING_WAIT))
         if now > self._shut_last + LINGER:
             self._shut_since = now
         self._shut_last = now
         # Shut for a moment: come back soon. Shut for long: the backlog of clients is long as well.
-        return TurnAway("too much open", self._spread(LEAST_WAIT + (now - self._shut_since)))
+        return TurnAway(cause, self._spread(LEAST_WAIT + (now - self._shut_since)))
+
+    def turn_away(self, cause: str) -> TurnAway:
+        """For a bound that is not the door's own: not taken, with advice spread like all others."""
+        return TurnAway(cause, self._spread(LEAST_WAIT))
 
     def _spread(self, middle: int) -> int:
         most = self.bounds.max_retry_after
--- a/quincepath/net/server.py
+++ b/quincepath/net/server.py
@@ -54,6 +54,10 @@
 
     def __init__(self, server: "HttpServer", sock: socket.socket) -> None:
         self.server = server
+        try:
+            self.address = str(sock.getpeername()[0])
+        except OSError:  # it has gone already
+            self.address = ""
         self.reader = RequestReader(server.limits)
         self.current: Exchange | None = None
         self.since = server.loop.now  # of the state now: idle, or a request being read
--- a/quincepath/observe/metrics.py
+++ b/quincepath/observe/metrics.py
@@ -25,6 +25,10 @@
             "quincepath_query_seconds", "Time from taking a query to its final answer", ["class"],
             buckets=TIMES, registry=registry,
         )  # fmt: skip
+        self.tries = Counter(
+            "quincepath_tries", "Requests that were owed an answer, by how they came to it", ["how"],
+            registry=registry,
+        )  # fmt: skip
         self.bad = Counter(
             "quincepath_bad_requests",
             "Requests that became no query, by status",
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -79,6 +79,7 @@
 
 
 def judged(tape: Tape, folder: Path) -> Report:
+    (folder / "day.jsonl").unlink(missing_ok=True)
     writer = Writer(folder / "day.jsonl", "test")
     for line in tape.lines:
         writer.write(line)
@@ -196,3 +197,50 @@
     path.write_bytes(msgspec.json.encode(Head("x", schema=7)) + b"\n")
     with pytest.raises(RecordError, match="schema 7, this program reads 1"):
         list(read(path))
+
+
+def shared(
+    mark: str = "equal", run: str = "q1", kind: str = "report", shards: list[int] | None = None
+) -> Tape:
+    """A try that shares the run of q1, or says so."""
+    tape = sound()
+    at = 100 * SECOND + 2 * MS
+    tape.lines.append(Ask(at, "s1", kind, [0, 1] if shards is None else shards, 2 * SECOND))
+    tape.lines.append(End(at + 8 * MS, "s1", 200, "whole", 2, 2, joined=mark, run=run))
+    return tape
+
+
+def findings(tape: Tape, tmp_path: Path) -> list[str]:
+    return [str(finding) for finding in judged(tape, tmp_path).findings]
+
+
+def test_a_try_that_shares_a_strangers_run_is_judged_by_that_run(tmp_path: Path) -> None:
+    assert findings(shared(), tmp_path) == []
+    assert "claims 2 parts, holders gave 0" in findings(shared(run=""), tmp_path)[0]
+    assert "asked for something else" in findings(shared(shards=[0]), tmp_path)[0]
+    assert "asked for something else" in findings(shared(kind="loose"), tmp_path)[0]
+
+
+def test_parts_of_a_shared_run_may_go_out_while_any_of_its_tries_is_open(tmp_path: Path) -> None:
+    late = Got(100 * SECOND + SECOND, "h0", "q1", 0, 2, 0, MS)
+    tape = sound()
+    tape.lines.append(late)
+    assert "after its end" in findings(tape, tmp_path)[0]
+    tape = shared()
+    tape.lines.append(late)
+    assert "after its end" in findings(tape, tmp_path)[0]
+    tape.change(End, "s1", at=100 * SECOND + 1200 * MS)
+    assert findings(tape, tmp_path) == []
+
+
+def test_tries_with_one_key_are_one_ask_and_a_lingering_run_is_bounded(tmp_path: Path) -> None:
+    tape = sound()
+    tape.change(Ask, "q1", ask="k")
+    tape.change(End, "q1", status=-1, mark="")
+    tape.lines.append(Got(100 * SECOND + 550 * MS, "h0", "q1", 0, 2, 0, MS))
+    given_up = [one for one in findings(tape, tmp_path) if "after its end" in one]
+    assert given_up  # 540 ms after the client left, where the slack is 300
+    for at, line in enumerate(tape.lines):
+        if isinstance(line, Bounds):
+            tape.lines[at] = msgspec.structs.replace(line, linger=300 * MS)
+    assert not [one for one in findings(tape, tmp_path) if "after its end" in one]
--- a/tests/world.py
+++ b/tests/world.py
@@ -49,6 +49,7 @@
     """A configuration without holders; ``more`` replaces or adds top-level keys."""
     return {
         "broker": {"seed": 5},
+        "asks": {"share_equal": False},
         "shards": {
             "label": "district",
             "unlabelled": "nowhere",
