Admission: even shares, class worth, bytes and memory; every decoder fuzzed

One bound on open work, first come first served, let one loud client push out the quiet ones, and nothing watched memory. Connections of one address have a bound and are told. It never queues; the module refuses by its own rule.

--- a/quincepath/asks/book.py
+++ b/quincepath/asks/book.py
@@ -9,8 +9,8 @@
     the key, another body    -> Conflict, where the client vouched for its keys; else a separate ask
 
 An ask that ended without an answer is forgotten: a later try runs it anew. A request may also join an equal
-one of its scope in flight (single flight): it is a *stranger* there. It shares an answer and a refusal, but
-a failure is not its own: strangers that have time left run the ask once more, together.
+one of its scope in flight (single flight): it is a *stranger* there. It shares the answer; another ending it
+shares only if it had no more time than the run: else strangers run the ask once more, together.
 
 When the last client of a marked ask has gone, the ask runs on for ``linger``, because its retry is probably
 on the way and what is in need not be fetched again. Design and what was weighed: docs/design/asks.md.
@@ -61,6 +61,7 @@
     shared: bool = False
     within: int = 0  # ns: unmarked, but an equal body of this scope so soon counts as a retry
     name: str = ""  # for logs and records
+    client: str = ""  # to whom its load is counted
 
 
 class How(Enum):
@@ -154,6 +155,7 @@
     scope: str
     digest: bytes
     began: int
+    deadline: int  # of the try that it runs for
     keys: list[tuple[str, str]] = field(default_factory=list)
     marked: bool = False
     waiting: dict[int, _Waiting] = field(default_factory=dict)
@@ -169,6 +171,7 @@
     def __init__(self, limits: BookLimits) -> None:
         self.limits = limits
         self.counts: Counter[str] = Counter()
+        self.remembers = True  # not while memory is short
         self.bytes = 0
         self._ids = 0
         self._asks: dict[int, _Ask[R]] = {}  # running
@@ -193,6 +196,10 @@
         """Answers that are kept."""
         return len(self._answered)
 
+    def next_ask(self) -> int:
+        """The number that the next ask gets."""
+        return self._ids + 1
+
     def next_due(self) -> int | None:
         """When ``expire`` must be called at the latest."""
         return self._dues[0][0] if self._dues else None
@@ -259,7 +266,7 @@
 
     def _begin(self, now: int, attempt: Try) -> _Ask[R]:
         self._ids += 1
-        ask: _Ask[R] = _Ask(self._ids, attempt.scope, attempt.digest, now)
+        ask: _Ask[R] = _Ask(self._ids, attempt.scope, attempt.digest, now, attempt.deadline)
         self._asks[ask.id] = ask
         self._name(ask, attempt)
         if attempt.shared:
@@ -330,10 +337,8 @@
 
     # --- endings ---
 
-    def finish(
-        self, now: int, ask_id: int, reply: R, size: int, answered: bool, failed: bool
-    ) -> list[Deliver | Restart]:
-        """The driver ended an ask: who gets the reply. Refused is neither answered nor failed."""
+    def finish(self, now: int, ask_id: int, reply: R, size: int, answered: bool) -> list[Deliver | Restart]:
+        """The driver ended an ask: who gets the reply."""
         ask = self._asks.get(ask_id)
         if ask is None:
             return []
@@ -342,8 +347,9 @@
         again: list[tuple[int, _Waiting]] = []
         for handle, waiting in ask.waiting.items():
             del self._handles[handle]
-            late = waiting.deadline - self.limits.reserve <= now
-            if failed and waiting.how is How.EQUAL and not waiting.restarted and not late:
+            # Refused or failed for want of time: that is no ending for one that has more of it.
+            longer = waiting.deadline > ask.deadline + self.limits.reserve
+            if not answered and waiting.how is How.EQUAL and longer and not waiting.restarted:
                 again.append((handle, waiting))
             else:
                 orders.append(Deliver(handle, waiting.how))
@@ -357,7 +363,7 @@
         """One more run for strangers: the one with the most time leads, the others wait with it."""
         lead = max(again, key=lambda one: (one[1].deadline, -one[0]))
         self._ids += 1
-        ask: _Ask[R] = _Ask(self._ids, old.scope, old.digest, now)
+        ask: _Ask[R] = _Ask(self._ids, old.scope, old.digest, now, lead[1].deadline)
         self._asks[ask.id] = ask
         ask.keys, ask.marked = old.keys, old.marked
         self._keys.update(dict.fromkeys(ask.keys, ask))
@@ -385,7 +391,8 @@
 
     def _remember(self, now: int, ask: _Ask[R], reply: R, size: int) -> None:
         limits = self.limits
-        if not limits.remember or size > limits.most_bytes or not limits.most_remembered:
+        room = limits.remember and size <= limits.most_bytes and limits.most_remembered
+        if not self.remembers or not room:
             self.counts["not remembered"] += 1
             return
         ask.reply, ask.size, ask.until = reply, size, now + limits.remember
@@ -406,6 +413,12 @@
             if self._keys.get(key) is ask:
                 del self._keys[key]
 
+    def forget_all(self) -> None:
+        """Give up all remembered answers: memory is short."""
+        while self._answered:
+            self.counts["forgotten early"] += 1
+            self._drop_answer(next(iter(self._answered.values())))
+
     def _forget(self, now: int) -> None:
         while self._answered:
             ask = next(iter(self._answered.values()))
--- a/quincepath/broker/driver.py
+++ b/quincepath/broker/driver.py
@@ -133,6 +133,7 @@
         self._timer_count = 0
         self._orders: list[Order] = []
         self._calls: dict[NodeId, list[list[AttemptOrder]]] = {}
+        self._open_parts = 0  # of queries that are not over
         self._done: list[int] = []  # parts to forget at the end of this step
 
     # --- what the edge calls ---
@@ -148,6 +149,10 @@
         """Queries and parts now held, ended ones with attempts still out among them."""
         return len(self.queries) + len(self.parts)
 
+    def lingering(self) -> int:
+        """Parts of ended queries whose attempts are still out."""
+        return len(self.parts) - self._open_parts
+
     def step(self, now: int, inputs: Iterable[Input]) -> list[Order]:
         """Feed one batch to the module and turn its actions into orders, in the module's sequence."""
         self.now = max(now, self.now)
@@ -207,6 +212,7 @@
         for ask in asks:
             part = _Part(self._next_id(), query, ask, query.step)
             self.parts[part.id] = part
+            self._open_parts += 1
             query.parts.append(part)
             key = query.ask.key and (query.ask.key * 1_000_003 + ask.shard) % (1 << 64)
             events.append(Part(part.id, query.id, ask.weight, ask.shard, key, 0))
@@ -387,6 +393,7 @@
     def _close(self, query: _Query) -> None:
         """The query is over. Attempts still out keep their parts known until their endings have come."""
         query.over = True
+        self._open_parts -= len(query.parts)
         del self.queries[query.id]
         del self._by_handle[query.ask.handle]
         for part in query.parts:
--- a/quincepath/broker/reception.py
+++ b/quincepath/broker/reception.py
@@ -17,6 +17,7 @@
 from quincepath.asks.desk import Desk
 from quincepath.broker.asks import Arrived, Ask, ClientLeft, Finish, Input, Order, Verdict
 from quincepath.broker.driver import Driver
+from quincepath.limits.admission import Cost
 from quincepath.limits.door import TurnAway
 
 C = TypeVar("C")
@@ -69,13 +70,8 @@
         self.driver, self.desk, self.render = driver, desk, render
         self._running: dict[int, _Running[C]] = {}
         self._inbox: list[Input] = []
-        self._arriving = 0  # queries and parts in the inbox
         self._ended: list[AskEnded[C, R]] = []
 
-    def open_work(self) -> int:
-        """Queries and parts held or on their way in: a burst in one turn must not slip in uncounted."""
-        return self.driver.open_work() + self._arriving
-
     def running(self) -> int:
         """Asks that have not ended."""
         return len(self._running)
@@ -86,10 +82,16 @@
         running = self._running.get(ask) if ask is not None else None
         return ask is not None, running.context if running else None
 
-    def arrive(self, now: int, attempt: Try, ask: Ask | None, context: C | None) -> "Decision[R] | TurnAway":
-        """A request; ``ask`` and ``context`` are needed only where it is not known. ``Begin`` has begun."""
-        work = 1 + len(ask.parts) if ask else 0
-        decision = self.desk.arrive(now, attempt, self.open_work(), work)
+    def arrive(
+        self, now: int, attempt: Try, ask: Ask | None, context: C | None, worth: float = 1.0, size: int = 0
+    ) -> "Decision[R] | TurnAway":
+        """A request; ``ask`` and ``context`` are needed only where it is not known. ``Begin`` has begun.
+
+        ``worth`` is its class's from 0 to 1, ``size`` the bytes of the request.
+        """
+        cost = Cost(attempt.client, ask.kind, worth, 1 + len(ask.parts), size) if ask else None
+        # A burst in one turn counts as it comes: the driver gets it only with the next step.
+        decision = self.desk.arrive(now, attempt, cost, self.driver.lingering())
         if isinstance(decision, Begin):
             if ask is None or context is None:
                 raise ValueError("a try of an unknown ask came without what to run")
@@ -98,7 +100,6 @@
 
     def _begin(self, ask: Ask, context: C) -> None:
         self._running[ask.handle] = _Running(ask, context)
-        self._arriving += 1 + len(ask.parts)
         self._inbox.append(Arrived(ask))
 
     def left(self, now: int, handle: int) -> None:
@@ -110,6 +111,7 @@
     def _drop(self, drop: Drop) -> None:
         running = self._running.pop(drop.ask, None)
         if running is not None:
+            self.desk.admission.ended(drop.ask)
             self._inbox.append(ClientLeft(drop.ask))
             self._ended.append(AskEnded(running.context, running.ask.name, None, None, 0))
 
@@ -132,7 +134,7 @@
     def step(self, now: int) -> list[Order | Owed[R] | AskEnded[C, R]]:
         """One batch: what came in, what is due, and what the module makes of it."""
         orders: list[Order | Owed[R] | AskEnded[C, R]] = []
-        inbox, self._inbox, self._arriving = self._inbox, [], 0
+        inbox, self._inbox = self._inbox, []
         # Replies of this batch come first: a try whose time is up now gets the answer that is there.
         for order in self.driver.step(now, inbox):
             if isinstance(order, Finish):
@@ -152,14 +154,16 @@
         if running is None:
             return
         said = self.render(finish, running.context)
-        answered, failed = said.verdict is Verdict.ANSWERED, said.verdict is Verdict.FAILED
-        owed = self.desk.book.finish(now, finish.handle, said.reply, said.size, answered, failed)
+        answered = said.verdict is Verdict.ANSWERED
+        owed = self.desk.book.finish(now, finish.handle, said.reply, said.size, answered)
         for one in owed:
             if isinstance(one, Restart):
                 time_left = one.deadline - now
                 name = one.name or running.ask.name
                 again = replace(running.ask, handle=one.ask, time_left=time_left, repeat=False, name=name)
+                self.desk.admission.renumber(finish.handle, one.ask)
                 self._begin(again, running.context)
             else:
                 orders.append(Owed(one.handle, said.reply, one.how, running.ask.name))
+        self.desk.admission.ended(finish.handle, said.size if answered else 0)
         orders.append(AskEnded(running.context, running.ask.name, finish, said.reply, len(owed)))
--- a/quincepath/broker/service.py
+++ b/quincepath/broker/service.py
@@ -11,6 +11,8 @@
 from pathlib import Path
 from typing import Any
 
+import psutil
+
 from quincepath.asks.book import Again, Begin, Conflict, Crowded, How, Join
 from quincepath.asks.desk import Desk
 from quincepath.broker.asks import (
@@ -27,7 +29,7 @@
 )
 from quincepath.broker.driver import Driver, Module
 from quincepath.broker.reception import AskEnded, Owed, Reception, Rendered
-from quincepath.config.schema import Config, book_limits, module_settings
+from quincepath.config.schema import Config, admission_bounds, book_limits, module_settings
 from quincepath.fronts.remote_read.front import (
     JOINED_HEADER,
     RUN_HEADER,
@@ -38,7 +40,8 @@
 )
 from quincepath.fronts.remote_read.plan import BadRequest, Plan
 from quincepath.interface import Members, NodeId, Settings
-from quincepath.limits.door import Bounds, TurnAway
+from quincepath.limits.door import TurnAway
+from quincepath.limits.memory import MemoryCircuit
 from quincepath.membership.source import ListSource
 from quincepath.net.http1 import Limits
 from quincepath.net.loop import Loop, Timer
@@ -50,6 +53,7 @@
 from quincepath.upstream.pool import PoolLimits, Upstream
 from quincepath.upstream.remote_read import RemoteReadCalls
 
+MEMORY_POLL = 250_000_000  # ns
 MakeModule = Callable[[Settings, int], Module]
 METRICS_TIMES = Times(idle=30_000_000_000, request=5_000_000_000, write=5_000_000_000)
 
@@ -81,8 +85,10 @@
         settings = module_settings(config)
         seed = config.broker.seed or time.time_ns()
         module = make_module(settings, seed)
-        bounds = Bounds(config.limits.max_open, config.limits.max_retry_after)
+        bounds = admission_bounds(config.limits)
         desk: Desk[Reply] = Desk(book_limits(config.asks, config.broker.tick), bounds, seed)
+        self.memory = MemoryCircuit(config.limits.max_memory)
+        self.resident: Callable[[], int] = lambda: int(psutil.Process().memory_info().rss)
         self.door = desk.door
         self.driver = Driver(module, settings, config.rules.drain_grace)
         self.reception: Reception[Plan, Reply] = Reception(self.driver, desk, self._render)
@@ -112,6 +118,7 @@
             Times(listen.idle_timeout, listen.request_timeout, listen.write_timeout),
             listen.max_connections,
             lambda why: self.log.warning("accept rests", cause=why),
+            most_per_address=listen.max_connections_per_address,
         )  # fmt: skip
         self.metrics_server = HttpServer(
             loop, config.metrics.host, config.metrics.port, self._metrics_request,
@@ -120,6 +127,7 @@
         loop.turn_hooks.append(self._turn)
         self.read_list(force=True)
         self._poll()
+        self._sample_memory()
 
     @property
     def url(self) -> str:
@@ -159,7 +167,8 @@
             self._at_once(exchange, self._internal(name), name)
             return
         attempt = replace(attempt, deadline=now + time_left, name=name)
-        decision = self.reception.arrive(now, attempt, ask, plan)
+        worth = plan.entry.worth if plan is not None else 1.0
+        decision = self.reception.arrive(now, attempt, ask, plan, worth, len(request.body))
         match decision:
             case TurnAway():
                 self._turn_away(exchange, decision, name)
@@ -222,6 +231,24 @@
             metrics.holders.labels(phase.lower()).set(count)
         exchange.respond(200, {"Content-Type": "text/plain; version=0.0.4; charset=utf-8"}, metrics.page())
 
+    def _sample_memory(self) -> None:
+        """Tell the circuit how much the process holds; the size comes from the system."""
+        if not self.server.listener.closed:
+            self.loop.call_in(MEMORY_POLL, self._sample_memory)
+        try:
+            resident = self.resident()
+        except (
+            OSError,
+            psutil.Error,
+        ):  # guards against a process that is out of descriptors: it is read from a file
+            return
+        self.metrics.resident.set(resident)
+        before = self.memory.pressure
+        found = self.memory.sample(resident)
+        if found is not before:
+            self.log.warning("memory pressure", was=before.name, now=found.name, bytes=resident)
+            self.reception.desk.press(found)
+
     # --- the list of holders ---
 
     def _path(self, node: NodeId) -> str | None:
--- a/quincepath/cli/lab.py
+++ b/quincepath/cli/lab.py
@@ -110,7 +110,7 @@
     "linger",
     "unmarked_within",
 }
-SIZES = {"max_answer", "max_merged", "most_bytes"}
+SIZES = {"max_answer", "max_merged", "most_bytes", "max_bytes", "max_memory"}
 
 
 def _durations_back(node: Any) -> None:
--- a/quincepath/config/schema.py
+++ b/quincepath/config/schema.py
@@ -10,6 +10,7 @@
 from quincepath.asks.book import BookLimits
 from quincepath.config.values import Duration, Share, Size
 from quincepath.interface import Effect, Limits, QueryClass, Rules, Settings
+from quincepath.limits.admission import AdmissionBounds
 
 MS = 1_000_000
 SECOND = 1000 * MS
@@ -60,6 +61,7 @@
     port: Port = 0
     path: str = Field("/api/v1/read", pattern="^/")
     max_connections: Count = 2000
+    max_connections_per_address: int = Field(0, ge=0)  # 0: no bound of its own
     max_headers: Size = 32 * 1024
     max_body: Size = 4 << 20
     idle_timeout: Duration = 60 * SECOND
@@ -165,6 +167,7 @@
     need: Share = 1.0
     floor: Share | None = None
     late_worth: Share = 0.3
+    worth: Share = 1.0  # against other classes, when much is open
     recent: Duration = 0
 
     @model_validator(mode="after")
@@ -187,6 +190,9 @@
     connections_per_holder: Count = 32
     max_retry_after: Duration = 10 * SECOND
     max_open: Count = 4000  # queries and parts held at once
+    max_asks: Count = 4000  # queries held at once
+    max_bytes: Size = 1 << 30  # of requests and expected answers held at once
+    max_memory: Size = 0  # bytes resident at which nothing new is taken; 0: not watched
     max_answer: Size = 64 << 20  # bytes of one holder's answer, decompressed
     max_merged: Size = 128 << 20  # bytes of one merged answer, before compression
     max_queries: int = Field(64, ge=1, le=4096)  # queries in one request
@@ -290,6 +296,11 @@
     )
 
 
+def admission_bounds(limits: LimitsEntry) -> AdmissionBounds:
+    """What admission is bound to."""
+    return AdmissionBounds(limits.max_asks, limits.max_open, limits.max_bytes, limits.max_retry_after)
+
+
 def zones(config: Config, more: list[Holder]) -> dict[str, int]:
     """Positions of zone names: this broker's first, the rest by name."""
     names = {holder.zone for holder in [*config.holders, *more]} - {config.broker.zone}
--- a/quincepath/config/values.py
+++ b/quincepath/config/values.py
@@ -8,7 +8,7 @@
 _NS = {"ns": 1, "us": 1_000, "ms": 1_000_000, "s": 1_000_000_000, "m": 60_000_000_000, "h": 3_600_000_000_000}
 _NS["d"] = 24 * _NS["h"]
 _BYTES = {"B": 1, "kB": 1000, "MB": 10**6, "GB": 10**9, "KiB": 1 << 10, "MiB": 1 << 20, "GiB": 1 << 30}
-_NUMBER_UNIT = re.compile(r"(\d+(?:\.\d+)?)\s*([A-Za-z]+)")
+_NUMBER_UNIT = re.compile(r"(\d{1,15}(?:\.\d{1,15})?)\s*([A-Za-z]+)", re.ASCII)
 
 
 def parse_duration(value: Any) -> int:
--- a/quincepath/fronts/remote_read/front.py
+++ b/quincepath/fronts/remote_read/front.py
@@ -99,7 +99,16 @@
         # An address is part of the digest only where it alone says whose tries they are.
         owner = address if mark is None and asks.unmarked_within else ""
         digest = hashlib.blake2b(request.body, digest_size=16, key=owner.encode()[:64]).digest()
-        return Try(handle, scope, digest, 0, mark, asks.share_equal and not owner, asks.unmarked_within)
+        return Try(
+            handle,
+            scope,
+            digest,
+            0,
+            mark,
+            asks.share_equal and not owner,
+            asks.unmarked_within,
+            client=scope or address,
+        )
 
     def time_left(self, request: Request, plan: Plan) -> int:
         """How long the client waits (ns), by header or class. Raises ``BadRequest``."""
@@ -144,5 +153,6 @@
 def name_of(request: Request, number: int) -> str:
     """The client's own id where it sent a usable one, else ours: for logs, records and holders."""
     given = request.headers.get(QUERY_HEADER.lower(), "")
-    usable = 0 < len(given) <= LONGEST_NAME and all(c.isalnum() or c in "-_.:" for c in given)
+    usable = 0 < len(given) <= LONGEST_NAME and given.isascii()
+    usable = usable and all(c.isalnum() or c in "-_.:" for c in given)
     return given if usable else f"q{number}"
--- a/quincepath/lab/emulator/script.py
+++ b/quincepath/lab/emulator/script.py
@@ -59,6 +59,7 @@
     need: Share = 1.0
     floor: Share | None = None
     late_worth: Share = 0.3
+    worth: Share = 1.0
     second_step: bool = False
 
 
@@ -71,6 +72,7 @@
     patience: tuple[float, float] = (0.6, 1.0)  # of the deadline, until a try is given up
     honour: Share = 0.8  # of clients that keep to Retry-After
     marks: bool = True  # a client's tries carry one key
+    desks: int = Field(1, ge=1, le=1000)  # to which queries belong in turn; each is a client to admission
 
 
 class Network(Model):
--- a/quincepath/lab/emulator/sockets.py
+++ b/quincepath/lab/emulator/sockets.py
@@ -122,6 +122,7 @@
                     "need": entry.need,
                     "floor": entry.need if entry.floor is None else entry.floor,
                     "late_worth": entry.late_worth,
+                    "worth": entry.worth,
                     "recent": f"{RECENT}m" if entry.second_step else 0,
                     "when": [{"label": "__name__", "value": f"class_{n}"}],
                 }
@@ -308,6 +309,8 @@
         plan = self._plan(kind, shards, meant, patience)
         if traffic.marks:
             plan.headers["Idempotency-Key"] = name
+        if traffic.desks > 1:
+            plan.headers["X-Scope-OrgID"] = f"desk{int(name[1:]) % traffic.desks}"
         if tries:
             plan.headers["Retry-Attempt"] = str(tries)
 
--- a/quincepath/lab/emulator/world.py
+++ b/quincepath/lab/emulator/world.py
@@ -31,7 +31,7 @@
 )
 from quincepath.broker.driver import Driver, Module
 from quincepath.broker.reception import Owed, Reception, Rendered
-from quincepath.config.schema import book_limits
+from quincepath.config.schema import admission_bounds, book_limits
 from quincepath.interface import (
     Effect,
     Entry,
@@ -51,7 +51,6 @@
 from quincepath.lab.record import Ask as AskLine
 from quincepath.lab.record import Bounds, ClassRules, End, Got, Halt, Head, Line, Mark, Said, Up
 from quincepath.lab.record import Told as ToldLine
-from quincepath.limits.door import Bounds as DoorBounds
 from quincepath.limits.door import TurnAway
 from quincepath.policy import Aggregator
 from quincepath.upstream.outcomes import End as CallEnd
@@ -330,7 +329,7 @@
         seed = zlib.crc32(f"{self.seed} {broker.number} {broker.life}".encode())
         settings = self.settings[broker.number]
         broker.driver = Driver(self.make_module(settings, seed), settings, self.script.rules.drain_grace)
-        bounds = DoorBounds(self.script.limits.max_open, self.script.limits.max_retry_after)
+        bounds = admission_bounds(self.script.limits)
         desk: Desk[Ending] = Desk(book_limits(self.script.asks, TICK), bounds, seed)
         broker.reception = Reception(broker.driver, desk, self._render)
         broker.alive, broker.stalled_until, broker.step_at = True, 0, None
@@ -404,7 +403,8 @@
         broker = alive[int(draw() * len(alive))]
         attempt = Try(client, client.name(), self.now, patience)
         self.tally.tries += 1
-        self.sink(AskLine(self.now, attempt.name, entry.name, client.shards, patience, broker.number))
+        key = f"c{client.number}" if traffic.marks else ""
+        self.sink(AskLine(self.now, attempt.name, entry.name, client.shards, patience, broker.number, key))
         life = broker.life
         self.at(self.now + patience + GIVE_UP_AFTER, lambda: self._client_leaves(attempt, broker, life))
         self.after(
@@ -421,8 +421,11 @@
         book_try = BookTry(
             handle, "", key.encode(), self.now + attempt.patience,
             KeyMark("", key, True) if self.script.traffic.marks else None,
+            client=f"desk{client.number % self.script.traffic.desks}",
         )  # fmt: skip
-        said = broker.reception.arrive(self.now, book_try, self._ask(attempt), client)
+        said = broker.reception.arrive(
+            self.now, book_try, self._ask(attempt), client, self.script.classes[client.kind].worth
+        )
         match said:
             case TurnAway(retry_in=retry_in):
                 self._answer_client(broker, attempt, Ending(503, retry_in=retry_in))
--- a/quincepath/net/server.py
+++ b/quincepath/net/server.py
@@ -119,11 +119,15 @@
             self._closed("answered and closed")
 
     def _closed(self, _why: str) -> None:
-        self.server.peers.pop(self, None)
+        self.server.forget(self)
         exchange, self.current = self.current, None
         if exchange is not None and exchange.on_left is not None:
             exchange.on_left()
 
+    def refuse(self, why: str) -> None:
+        """Answer before any request and close: the client is told, not just cut off."""
+        self._send(503, {**TEXT, "Retry-After": "1"}, why.encode() + b"\n", keep_alive=False)
+
     def expire(self, now: int, times: Times) -> None:
         """Close or answer what is past its time."""
         if self.stream.pending:
@@ -156,8 +160,11 @@
         most: int,
         on_rest: Callable[[str], None] = lambda why: None,
         on_peer: Callable[[Peer], None] = lambda peer: None,
+        most_per_address: int = 0,
     ) -> None:
         self.on_peer = on_peer
+        self.most_per_address = most_per_address  # 0: no bound
+        self.by_address: Counter[str] = Counter()
         self.loop, self.handler, self.limits, self.times = loop, handler, limits, times
         self.peers: dict[Peer, None] = {}
         self.counts: Counter[str] = Counter()
@@ -175,8 +182,21 @@
         self.counts["accepted"] += 1
         peer = Peer(self, sock)
         self.peers[peer] = None
+        self.by_address[peer.address] += 1
+        if self.most_per_address and self.by_address[peer.address] > self.most_per_address:
+            self.counts["too_many_of_address"] += 1
+            peer.refuse("too many connections from this address")
+            return
         self.on_peer(peer)
 
+    def forget(self, peer: Peer) -> None:
+        """A connection is closed."""
+        if peer in self.peers:
+            del self.peers[peer]
+            self.by_address[peer.address] -= 1
+            if not self.by_address[peer.address]:
+                del self.by_address[peer.address]
+
     def _sweep(self) -> None:
         for peer in list(self.peers):
             peer.expire(self.loop.now, self.times)
--- a/quincepath/observe/metrics.py
+++ b/quincepath/observe/metrics.py
@@ -25,6 +25,7 @@
             "quincepath_query_seconds", "Time from taking a query to its final answer", ["class"],
             buckets=TIMES, registry=registry,
         )  # fmt: skip
+        self.resident = Gauge("quincepath_resident_bytes", "Memory that the process holds", registry=registry)
         self.tries = Counter(
             "quincepath_tries", "Requests that were owed an answer, by how they came to it", ["how"],
             registry=registry,
--- a/quincepath/standins/leaf.py
+++ b/quincepath/standins/leaf.py
@@ -179,7 +179,7 @@
         parts = parts_of(exchange.request)
         works = self._works(request, parts)
         sender = exchange.request.headers.get("x-quincepath-broker", "")
-        broker = int(sender) if sender.isdigit() else 0
+        broker = int(sender) if _is_number(sender) else 0
         if self.record is not None:
             for (query, shard, step, attempt), work in zip(parts, works, strict=False):
                 self.record.write(
@@ -322,6 +322,11 @@
         job.exchange.respond(status, headers, body)
 
 
+def _is_number(text: str) -> bool:
+    """Plain digits only: others, such as superscripts, are digits to ``isdigit`` and not to ``int``."""
+    return text.isascii() and text.isdigit() and len(text) < 16
+
+
 def _meant(query: Query) -> tuple[str, str]:
     """The metric that a query reads, and what it is meant to do to the holder."""
     metric = incident = ""
@@ -338,6 +343,6 @@
     found = []
     for item in request.headers.get("x-quincepath-parts", "").split(","):
         pieces = item.strip().split("/")
-        if len(pieces) == 4 and all(piece.isdigit() for piece in pieces[1:]):
+        if len(pieces) == 4 and all(_is_number(piece) for piece in pieces[1:]):
             found.append((pieces[0], int(pieces[1]), int(pieces[2]), int(pieces[3])))
     return found
--- /dev/null
+++ b/tests/fuzzing.py
@@ -0,0 +1,183 @@
+"""Targets that are fed bytes from outside: each either makes something of them or says clearly why not.
+
+A target takes bytes and raises nothing. ``mutated`` gives inputs near valid ones. Used in CI with few inputs
+and fixed seeds, and by ``benchmarks/fuzz.py`` with many.
+"""
+
+from collections.abc import Callable
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+import numpy as np
+from hypothesis import strategies as st
+
+from quincepath.config.load import ConfigError, parse
+from quincepath.config.schema import Config, Roster
+from quincepath.fronts.remote_read.codec import CodecError, compress, decode_request, decode_response, encode
+from quincepath.fronts.remote_read.front import RemoteReadFront, Reply
+from quincepath.fronts.remote_read.remote_pb2 import LabelMatcher, ReadRequest
+from quincepath.lab.emulator.recording import RecordingError, read_recording
+from quincepath.lab.emulator.script import Script
+from quincepath.net.http1 import HttpError, Limits, Request, RequestReader, ResponseReader, request_bytes
+from quincepath.shards.shardmap import ShardMap
+from quincepath.standins.data import BEGIN_MS, END_MS, Store
+from quincepath.standins.leaf import parts_of
+from tests.world import values
+
+ROOT = Path(__file__).parent.parent
+LIMITS = Limits(headers=4096, body=1 << 16)
+MOST = 1 << 20
+
+
+def sample_request() -> ReadRequest:
+    request = ReadRequest()
+    query = request.queries.add(start_timestamp_ms=BEGIN_MS, end_timestamp_ms=END_MS)
+    query.matchers.add(type=LabelMatcher.EQ, name="__name__", value="fuel_use_liters")
+    query.matchers.add(type=LabelMatcher.RE, name="district", value="north.*|river.*")
+    return request
+
+
+CONFIG = Config.model_validate(
+    {"holders": [{"name": "a0", "url": "http://127.0.0.1:9/api/v1/read", "shards": ["s0"]}], **values()}
+)
+FRONT = RemoteReadFront(
+    CONFIG, ShardMap("district", [(e.name, e.set or e.name, e.values) for e in CONFIG.shards.map], False)
+)
+RAW = sample_request().SerializeToString()
+BODY = encode(sample_request())
+ANSWER = encode(Store(3, ["north.example.org"]).read(sample_request()))
+HEADERS = {"Content-Type": "application/x-protobuf", "Content-Encoding": "snappy", "Idempotency-Key": "k"}
+WIRE = request_bytes("POST", "/api/v1/read", "x", HEADERS, BODY)
+CONFIG_TEXT = (ROOT / "examples" / "incidents" / "holders-hang.yaml").read_bytes()
+
+
+def http_request(data: bytes) -> None:
+    """The same messages or the same error, however the bytes are cut."""
+
+    def read(pieces: list[bytes]) -> tuple[list[tuple[str, str, int]], int]:
+        reader = RequestReader(LIMITS)
+        try:
+            for piece in pieces:
+                reader.feed(piece)
+        except HttpError as error:
+            assert 400 <= error.status <= 599 and error.text
+            return [(r.method, r.target, len(r.body)) for r in reader.done], error.status
+        assert all(len(request.body) <= LIMITS.body for request in reader.done)
+        return [(r.method, r.target, len(r.body)) for r in reader.done], 0
+
+    whole, cut = read([data]), read([data[n : n + 7] for n in range(0, len(data), 7)])
+    assert whole == cut, (whole, cut)
+
+
+def http_response(data: bytes) -> None:
+    """A response, an error, or more is wanted."""
+    try:
+        ResponseReader(LIMITS).feed(data)
+    except HttpError as error:
+        assert error.text
+
+
+def protobuf(data: bytes) -> None:
+    """Snappy and protobuf of both directions."""
+    for decode in (decode_request, decode_response):
+        try:
+            decode(data, MOST)
+        except CodecError as error:
+            assert str(error)
+
+
+def front(data: bytes) -> None:
+    """A whole request body through the front: an ask or a 4xx in words."""
+    request = Request("POST", "/api/v1/read", {k.lower(): v for k, v in HEADERS.items()}, data)
+    found = FRONT.read(request, 1, "q")
+    if isinstance(found, Reply):
+        assert found.status in (200, 400, 415) and (found.status == 200 or found.body.strip())
+    FRONT.identify(request, 1, "127.0.0.1")
+
+
+def plan(data: bytes) -> None:
+    """A request's protobuf, well packed: what is wrong then is inside (types, times, expressions, limits)."""
+    front(compress(data))
+
+
+def header_values(data: bytes) -> None:
+    """What clients and brokers write into our headers."""
+    text = data.decode("latin-1")
+    names = [
+        "x-quincepath-timeout",
+        "retry-attempt",
+        "idempotency-key",
+        "x-scope-orgid",
+        "x-quincepath-parts",
+    ]
+    request = Request("POST", "/api/v1/read", {**{k.lower(): v for k, v in HEADERS.items()}}, BODY)
+    request.headers |= dict.fromkeys(names, text)
+    found = FRONT.read(request, 1, "q")
+    assert not isinstance(found, Reply) or found.status == 400
+    FRONT.identify(request, 1, "127.0.0.1")
+    parts_of(request)
+
+
+def yaml(data: bytes) -> None:
+    """Configuration, roster and script files."""
+    text = data.decode("utf-8", "replace")
+    for model in (Config, Roster, Script):
+        try:
+            parse(text, model, "f.yaml")
+        except ConfigError as error:
+            assert error.lines and all(line.startswith("f.yaml") for line in error.lines), error.lines
+
+
+def recording(data: bytes) -> None:
+    """A recording that may be damaged anywhere."""
+    with TemporaryDirectory() as folder:
+        path = Path(folder) / "x.qprec"
+        path.write_bytes(data)
+        try:
+            read_recording(path)
+        except RecordingError as error:
+            assert str(error)
+
+
+CHUNKED = b"GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+TARGETS: dict[str, tuple[Callable[[bytes], None], list[bytes]]] = {
+    "http request": (http_request, [WIRE, WIRE * 2, CHUNKED]),
+    "http response": (http_response, [b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc"]),
+    "snappy and protobuf": (protobuf, [BODY, ANSWER[:2000]]),
+    "front": (front, [BODY]),
+    "plan": (plan, [RAW, RAW * 3]),
+    "header values": (header_values, [b"250ms", b"q1/0/1/0, q2/1/1/0", b"1"]),
+    "yaml": (yaml, [CONFIG_TEXT[:600], b"a: [1, {b: c}]", b"holders: []\nversion: 1\n"]),
+    "recording": (recording, [b"QPREC\x01" + bytes(40)]),
+}  # fmt: skip
+
+
+def mutate(random: np.random.Generator, seed: bytes) -> bytes:
+    """One input near a valid one: bytes flipped, cut out, doubled, put in, or a length blown up."""
+    data = bytearray(seed)
+    for _ in range(int(random.integers(1, 6))):
+        at = int(random.integers(len(data) + 1))
+        match int(random.integers(6)):
+            case 0 if data:
+                data[at % len(data)] ^= 1 << int(random.integers(8))
+            case 1:
+                del data[at : at + int(random.integers(1, 16))]
+            case 2:
+                data[at:at] = data[at : at + int(random.integers(1, 64))]
+            case 3:
+                data[at:at] = random.bytes(int(random.integers(1, 8)))
+            case 4:
+                data[at:at] = b"\xff\xff\xff\xff\x7f"
+            case _:
+                data = data[:at]
+    return bytes(data)
+
+
+def mutated(seeds: list[bytes]) -> st.SearchStrategy[bytes]:
+    """For hypothesis: anything, or something near a valid input."""
+    near = st.builds(
+        lambda seed, number: mutate(np.random.default_rng(number), seed),
+        st.sampled_from(seeds),
+        st.integers(0, 1 << 32),
+    )
+    return st.one_of(near, st.binary(max_size=300))
--- a/tests/test_asks.py
+++ b/tests/test_asks.py
@@ -42,7 +42,7 @@
 from quincepath.broker.reception import AskEnded, Owed, Reception, Rendered
 from quincepath.interface import Members, Result, Scope
 from quincepath.lab.load import Client, QueryPlan, Seen
-from quincepath.limits.door import Bounds
+from quincepath.limits.admission import AdmissionBounds
 from quincepath.policy import Aggregator
 from tests.helpers import MS, SECOND, START, entry, node_id, query_class, settings
 from tests.world import World
@@ -52,6 +52,9 @@
 )
 
 
+ROOMY = AdmissionBounds(1000, 1000, 1 << 30, SECOND)
+
+
 def book(**changes: Any) -> Book[str]:
     return Book(replace(LIMITS, **changes))
 
@@ -68,7 +71,7 @@
     asks = book()
     assert asks.arrive(START, attempt(1)) == Begin(1)
     assert asks.arrive(START + MS, attempt(2)) == Join(1, How.RETRY)
-    orders = asks.finish(START + 2 * MS, 1, "answer", 6, True, False)
+    orders = asks.finish(START + 2 * MS, 1, "answer", 6, True)
     assert orders == [Deliver(1, How.BEGAN), Deliver(2, How.RETRY)]
     assert asks.arrive(START + 3 * MS, attempt(3)) == Again(1, "answer")
     assert asks.waiting() == asks.running() == 0
@@ -77,12 +80,12 @@
 def test_a_remembered_answer_is_forgotten_in_its_time_and_a_failure_is_never_remembered() -> None:
     asks = book()
     asks.arrive(START, attempt(1))
-    asks.finish(START, 1, "answer", 6, True, False)
+    asks.finish(START, 1, "answer", 6, True)
     assert asks.arrive(START + 10 * SECOND - 1, attempt(2)) == Again(1, "answer")
     assert asks.arrive(START + 10 * SECOND, attempt(3)) == Begin(2)
-    asks.finish(START + 11 * SECOND, 2, "refused", 6, False, False)
+    asks.finish(START + 11 * SECOND, 2, "refused", 6, False)
     assert asks.arrive(START + 11 * SECOND, attempt(4)) == Begin(3)
-    asks.finish(START + 11 * SECOND, 3, "failed", 6, False, True)
+    asks.finish(START + 11 * SECOND, 3, "failed", 6, False)
     assert asks.arrive(START + 11 * SECOND, attempt(5)) == Begin(4)
 
 
@@ -90,15 +93,15 @@
     asks = book()
     for number in range(5):
         asks.arrive(START, attempt(number + 1, key=f"k{number}"))
-        asks.finish(START, number + 1, f"a{number}", 100, True, False)
+        asks.finish(START, number + 1, f"a{number}", 100, True)
     assert (asks.remembered(), asks.bytes) == (3, 300)
     assert asks.arrive(START, attempt(9, key="k1")) == Begin(6)
     assert asks.arrive(START, attempt(10, key="k2")) == Again(3, "a2")
     asks.arrive(START, attempt(11, key="big"))
-    asks.finish(START, 7, "big", 900, True, False)
+    asks.finish(START, 7, "big", 900, True)
     assert (asks.remembered(), asks.bytes) == (2, 1000)  # the newest small one and the big one
     asks.arrive(START, attempt(12, key="huge"))
-    asks.finish(START, 8, "huge", 1001, True, False)
+    asks.finish(START, 8, "huge", 1001, True)
     assert (asks.remembered(), asks.bytes) == (2, 1000)
 
 
@@ -128,14 +131,14 @@
     asks = book()
     asks.arrive(START, attempt(1, key=""))
     assert asks.left(START + MS, 1) == Drop(1)
-    assert asks.finish(START + MS, 1, "late", 4, True, False) == []
+    assert asks.finish(START + MS, 1, "late", 4, True) == []
 
 
 def test_an_answer_that_came_while_nobody_waited_is_there_for_the_retry() -> None:
     asks = book()
     asks.arrive(START, attempt(1))
     asks.left(START + MS, 1)
-    assert asks.finish(START + 2 * MS, 1, "answer", 6, True, False) == []
+    assert asks.finish(START + 2 * MS, 1, "answer", 6, True) == []
     assert asks.arrive(START + 3 * MS, attempt(2)) == Again(1, "answer")
 
 
@@ -145,7 +148,7 @@
     asks.arrive(START, attempt(2, left=100 * MS))
     assert asks.next_due() == START + 95 * MS
     assert asks.expire(START + 95 * MS) == [TimeUp(2)]
-    assert asks.finish(START + 96 * MS, 1, "answer", 6, True, False) == [Deliver(1, How.BEGAN)]
+    assert asks.finish(START + 96 * MS, 1, "answer", 6, True) == [Deliver(1, How.BEGAN)]
 
 
 def test_when_the_first_has_gone_and_the_last_has_no_time_the_ask_is_dropped() -> None:
@@ -156,26 +159,26 @@
     assert asks.expire(START + 95 * MS) == [TimeUp(2), Drop(1)]
 
 
-def test_equal_requests_in_flight_run_once_and_a_failure_is_run_again_for_strangers_only() -> None:
+def test_equal_requests_in_flight_run_once_and_what_lacked_time_is_run_again_for_strangers() -> None:
     asks = book()
     asks.arrive(START, attempt(1, key="a", left=100 * MS, shared=True))
     assert asks.arrive(START, attempt(2, key="b", shared=True)) == Join(1, How.EQUAL)
     assert asks.arrive(START, attempt(3, key="c", left=SECOND, shared=True)) == Join(1, How.EQUAL)
-    orders = asks.finish(START + 95 * MS, 1, "time is up", 6, False, True)
+    orders = asks.finish(START + 95 * MS, 1, "time is up", 6, False)
     assert orders == [Deliver(1, How.BEGAN), Restart(2, 2, START + 2 * SECOND, "t2")]
     assert asks.arrive(START + 96 * MS, attempt(4, key="b", shared=True)) == Join(2, How.RETRY)
     # The second run's failure is final for all.
-    orders = asks.finish(START + 97 * MS, 2, "failed", 6, False, True)
+    orders = asks.finish(START + 97 * MS, 2, "failed", 6, False)
     assert orders == [Deliver(2, How.BEGAN), Deliver(3, How.EQUAL), Deliver(4, How.RETRY)]
     assert asks.running() == asks.waiting() == 0
 
 
-def test_a_refusal_is_shared_and_scopes_never_share() -> None:
+def test_an_ending_is_shared_by_those_with_no_more_time_and_scopes_never_share() -> None:
     asks = book()
     asks.arrive(START, attempt(1, key="", shared=True))
     assert asks.arrive(START, replace(attempt(2, key="", shared=True), scope="other")) == Begin(2)
     asks.arrive(START, attempt(3, key="", shared=True))
-    refused = asks.finish(START, 1, "refused", 4, False, False)
+    refused = asks.finish(START, 1, "refused", 4, False)
     assert refused == [Deliver(1, How.BEGAN), Deliver(3, How.EQUAL)]
 
 
@@ -222,7 +225,7 @@
         )
         limits = {"attempts": 3, "duplicate": False}
         driver = Driver(Aggregator(one := settings((kind,), limits=limits, cells=3), 1), one, 500 * MS)
-        desk: Desk[Any] = Desk(replace(LIMITS, linger=self.linger), Bounds(1000, SECOND), 1)
+        desk: Desk[Any] = Desk(replace(LIMITS, linger=self.linger), ROOMY, 1)
         self.desk = Reception[str, Any](driver, desk, lambda f, _c: Rendered(f, 1, f.verdict))
         self.now = START
         entries = tuple(entry(n + 1, n) for n in range(3))
@@ -524,6 +527,24 @@
         world.close()
 
 
+def test_a_failed_run_is_run_again_for_strangers_that_have_time_left(tmp_path: Path) -> None:
+    """The first had little time and takes a failure with it; the one who only shared the run is served."""
+    world = World(tmp_path, asks={"share_equal": True})
+    world.faults("a0 a1 b0 b1 c0 c1", fault="hang")
+    seen: dict[str, Seen] = {}
+    plan = world.plan("hours-report")
+    hasty = replace(plan, headers={"X-Quincepath-Timeout": "200ms"})
+    world.client.ask("hasty", hasty, lambda end: seen.update(hasty=end))
+    world.client.ask("patient", plan, lambda end: seen.update(patient=end))
+    world.loop.call_in(100 * MS, lambda: world.faults("a0 a1 b0 b1 c0 c1"))
+    world.until(lambda: len(seen) == 2)
+    book = world.broker.reception.desk.book
+    assert (seen["hasty"].status, seen["patient"].status) == (503, 200)
+    assert seen["hasty"].took < 250 * MS and book.counts["restarted"] == 1
+    assert book.running() == book.waiting() == 0
+    world.close()
+
+
 def test_a_key_with_another_body_is_told_and_scopes_are_kept_apart(tmp_path: Path) -> None:
     world = World(tmp_path)
     key = {"Idempotency-Key": "k"}
