A run over sockets that the machine cannot keep up with is void, not judged

The large example (142 processes) on eight cores ended before its clients had their ends; the audit called that broken rules.

--- a/quincepath/cli/lab.py
+++ b/quincepath/cli/lab.py
@@ -144,6 +144,10 @@
     with tempfile.TemporaryDirectory(prefix="quincepath-rehearse-") as folder:
         figures = SocketRun(plan, plan.seed if seed is None else seed, Path(folder)).play()
     click.echo(json.dumps(figures, indent=None if as_json else 1))
+    if figures["void"]:
+        behind = f"this machine could not keep up (behind by {figures['late_most_s']} s"
+        rest = "or queries without an end when time was up): nothing is shown; take a smaller fleet or load"
+        fail([f"{behind}, {rest}"])
     sys.exit(1 if figures["findings"] or figures["fell"] else 0)
 
 
