--- a/quincepath/broker/asks.py
+++ b/quincepath/broker/asks.py
@@ -99,6 +99,7 @@
     deadline: int
     payload: Any
     query_name: str
+    ask: int = 0  # the handle of its ask
 
 
 @dataclass(slots=True, frozen=True)
--- a/quincepath/broker/driver.py
+++ b/quincepath/broker/driver.py
@@ -302,7 +302,14 @@
         wait = action.timeout or query.deadline - self.now
         deadline = min(self.now + max(wait, 0), query.deadline)
         order = AttemptOrder(
-            part.id, number, part.ask.shard, part.step, deadline, part.ask.payload, query.ask.name
+            part.id,
+            number,
+            part.ask.shard,
+            part.step,
+            deadline,
+            part.ask.payload,
+            query.ask.name,
+            query.ask.handle,
         )
         calls = self._calls.setdefault(action.node, [])
         if not calls or len(calls[-1]) >= self.settings.limits.batch:
--- a/quincepath/broker/reception.py
+++ b/quincepath/broker/reception.py
@@ -44,6 +44,7 @@
     reply: R | None
     how: How
     run: str  # under which name the ask's parts went to holders
+    ask: int
 
 
 @dataclass(slots=True, frozen=True)
@@ -55,6 +56,7 @@
     finish: Finish | None
     reply: R | None
     tries: int
+    ask: int
 
 
 @dataclass(slots=True)
@@ -113,7 +115,7 @@
         if running is not None:
             self.desk.admission.ended(drop.ask)
             self._inbox.append(ClientLeft(drop.ask))
-            self._ended.append(AskEnded(running.context, running.ask.name, None, None, 0))
+            self._ended.append(AskEnded(running.context, running.ask.name, None, None, 0, drop.ask))
 
     def note(self, item: Input) -> None:
         """Something else came in; it is in the next batch."""
@@ -145,7 +147,7 @@
             if isinstance(expired, Drop):
                 self._drop(expired)
             else:
-                orders.append(Owed(expired.handle, None, How.RETRY, ""))
+                orders.append(Owed(expired.handle, None, How.RETRY, "", 0))
         ended, self._ended = self._ended, []
         return [*orders, *ended]
 
@@ -164,6 +166,8 @@
                 self.desk.admission.renumber(finish.handle, one.ask)
                 self._begin(again, running.context)
             else:
-                orders.append(Owed(one.handle, said.reply, one.how, running.ask.name))
+                orders.append(Owed(one.handle, said.reply, one.how, running.ask.name, finish.handle))
         self.desk.admission.ended(finish.handle, said.size if answered else 0)
-        orders.append(AskEnded(running.context, running.ask.name, finish, said.reply, len(owed)))
+        orders.append(
+            AskEnded(running.context, running.ask.name, finish, said.reply, len(owed), finish.handle)
+        )
--- a/quincepath/broker/service.py
+++ b/quincepath/broker/service.py
@@ -48,6 +48,7 @@
 from quincepath.net.server import Exchange, HttpServer, Times
 from quincepath.observe.logs import logger
 from quincepath.observe.metrics import Metrics
+from quincepath.observe.traces import TRACE_HEADER, Traces
 from quincepath.policy import Aggregator
 from quincepath.shards.shardmap import ShardMap
 from quincepath.upstream.pool import PoolLimits, Upstream
@@ -87,6 +88,16 @@
         module = make_module(settings, seed)
         bounds = admission_bounds(config.limits)
         desk: Desk[Reply] = Desk(book_limits(config.asks, config.broker.tick), bounds, seed)
+        self.traces: Traces | None = None
+        if config.traces.file is not None:
+            started = time.time_ns() - loop.clock()
+            self.traces = Traces(
+                base / config.traces.file,
+                config.traces.share,
+                seed,
+                config.broker.number,
+                lambda at: started + at,
+            )
         self.memory = MemoryCircuit(config.limits.max_memory)
         self.resident: Callable[[], int] = lambda: int(psutil.Process().memory_info().rss)
         self.door = desk.door
@@ -182,6 +193,8 @@
             case Join() | Begin():
                 self.open[handle] = _Open(exchange, name)
                 exchange.on_left = lambda: self._left(handle)
+                if self.traces is not None and isinstance(decision, Begin):
+                    self.traces.begin(decision.ask, now, request.headers)
 
     def _at_once(self, exchange: Exchange, reply: Reply, name: str) -> None:
         """The reply to a request that becomes no ask."""
@@ -190,12 +203,15 @@
             self.log.info("bad request", query=name, status=reply.status, cause=reply.body.decode().strip())
         exchange.respond(reply.status, reply.headers, reply.body)
 
-    def _answer(self, exchange: Exchange, reply: Reply, how: How, run: str = "") -> None:
+    def _answer(self, exchange: Exchange, reply: Reply, how: How, run: str = "", ask: int = 0) -> None:
         """Send a final answer to one try; ``run`` is the name of the try whose run it shares."""
+        trace = self.traces.of(ask) if self.traces is not None else ""
         exchange.on_left = None
         joined = {} if how is How.BEGAN else {JOINED_HEADER: how.value}
         if joined and run:
             joined[RUN_HEADER] = run
+        if trace:
+            joined[TRACE_HEADER] = trace
         self.metrics.tries.labels(how.value).inc()
         exchange.respond(reply.status, {**reply.headers, **joined}, reply.body)
 
@@ -307,15 +323,28 @@
         fact = self.source.state.address(part.attempts[item.attempt].node)
         name = fact.name if fact else "unlisted"
         self.metrics.attempts.labels(name, item.result.name.lower()).inc()
+        if self.traces is not None:
+            ask, outcome = part.query.ask.handle, item.result.name.lower()
+            self.traces.came(ask, item.part, item.attempt, outcome, item.cause, self.loop.now)
         if item.cause and item.result.name not in ("CANCELLED",):
             self.log.debug(
                 "attempt ended badly", query=part.query.ask.name, part=part.ask.shard, attempt=item.attempt,
                 node=name, outcome=item.result.name, cause=item.cause,
             )  # fmt: skip
 
+    def _note_sent(self, order: StartCall) -> None:
+        if self.traces is not None:
+            fact = self.source.state.address(order.node)
+            for one in order.attempts:
+                self.traces.sent(
+                    one.ask, one.part, one.attempt, one.shard, one.step, fact.name if fact else "unlisted",
+                    self.loop.now,
+                )  # fmt: skip
+
     def _carry_out(self, order: Any) -> None:
         match order:
             case StartCall():
+                self._note_sent(order)
                 self.upstream.start(order)
             case StopAttempt(part, attempt):
                 self.upstream.stop(part, attempt)
@@ -343,7 +372,7 @@
         if held is None:
             return
         if owed.reply is not None:
-            self._answer(held.exchange, owed.reply, owed.how, owed.run)
+            self._answer(held.exchange, owed.reply, owed.how, owed.run, owed.ask)
             return
         held.exchange.on_left = None
         self.metrics.tries.labels("time up").inc()
@@ -351,13 +380,23 @@
 
     def _ask_ended(self, ended: AskEnded[Plan, Reply]) -> None:
         kind, finish, reply = ended.context.entry.name, ended.finish, ended.reply
+        trace = self.traces.of(ended.ask) if self.traces is not None else ""
         if finish is None or reply is None:
             self.metrics.answers.labels(kind, "left").inc()
+            if self.traces is not None:
+                self.traces.end(ended.ask, self.loop.now, ended.name, "left", False, {"class": kind})
             return
         answer = reply.verdict.value if reply.verdict else "failed"
         if reply.verdict is Verdict.ANSWERED:
             answer = "whole" if finish.whole else "partial"
         self.metrics.answers.labels(kind, answer).inc()
+        if self.traces is not None:
+            late = finish.took > ended.context.entry.target
+            values: dict[str, str | int] = {
+                "class": kind, "cause": finish.cause, "tries": ended.tries,
+                "parts_in": finish.parts_in, "parts_asked": finish.parts_asked,
+            }  # fmt: skip
+            self.traces.end(ended.ask, self.loop.now, ended.name, answer, late, values)
         self.metrics.seconds.labels(kind).observe(finish.took / 1e9)
         if reply.stats is not None:
             self.metrics.duplicates.inc(reply.stats.duplicates)
@@ -366,7 +405,7 @@
             "final answer", query=ended.name, answer=answer, tries=ended.tries,
             parts=f"{finish.parts_in}/{finish.parts_asked}",
             attempts=finish.attempts, ms=round(finish.took / 1e6, 1), cause=finish.cause, status=reply.status,
-            **{"class": kind},
+            **{"class": kind, **({"trace": trace} if trace else {})},
         )  # fmt: skip
 
     # --- stopping ---
@@ -389,3 +428,5 @@
         self.server.close()
         self.metrics_server.close()
         self.upstream.close()
+        if self.traces is not None:
+            self.traces.close()
--- a/quincepath/config/schema.py
+++ b/quincepath/config/schema.py
@@ -211,6 +211,13 @@
     budget_ratio: float = Field(0.0, ge=0)
 
 
+class TracesEntry(Model):
+    """Where spans are written (JSON lines, appended to), and which share of the sound ones is kept."""
+
+    file: Name | None = None
+    share: Share = 0.01
+
+
 class AsksEntry(Model):
     """Which requests are tries of one ask. Of several headers, the first that is there counts."""
 
@@ -258,6 +265,7 @@
     limits: LimitsEntry = LimitsEntry()
     rules: RulesEntry = RulesEntry()
     asks: AsksEntry = AsksEntry()
+    traces: TracesEntry = TracesEntry()
     timeout_header: Name = "X-Quincepath-Timeout"
     repeat_header: Name = "Retry-Attempt"
 
