A request to a wrong path or of a wrong type is no try of a sound one

Only the body told asks apart, so that a POST of the same bytes to another path, or of another content type, joined a running read instead of hearing 404 or 415. Method, path, type and encoding are part of what identifies it.

--- a/quincepath/fronts/remote_read/front.py
+++ b/quincepath/fronts/remote_read/front.py
@@ -98,7 +98,12 @@
                     mark = Mark(scope, key[:LONGEST_NAME], vouched and len(key) <= LONGEST_NAME)
         # An address is part of the digest only where it alone says whose tries they are.
         owner = address if mark is None and asks.unmarked_within else ""
-        digest = hashlib.blake2b(request.body, digest_size=16, key=owner.encode()[:64]).digest()
+        # With what makes a request valid: one to a wrong path or of a wrong type is no try of a sound one.
+        kind, packed = headers.get("content-type", ""), headers.get("content-encoding", "")
+        head = f"{request.method} {request.path}\n{kind}\n{packed}\n"
+        digest = hashlib.blake2b(
+            head.encode() + request.body, digest_size=16, key=owner.encode()[:64]
+        ).digest()
         return Try(
             handle,
             scope,
--- a/tests/test_asks.py
+++ b/tests/test_asks.py
@@ -545,6 +545,22 @@
     world.close()
 
 
+def test_what_is_no_remote_read_request_is_never_taken_for_a_try_of_one(tmp_path: Path) -> None:
+    world = World(tmp_path, asks={"share_equal": True})
+    world.faults("a0 a1 b0 b1 c0 c1", fault="late", late_ms=100)
+    plan = replace(world.plan("hours-report"), headers={"Idempotency-Key": "k"})
+    odd = Client(world.loop, world.broker.url.replace("/read", "/write"))
+    typed = replace(plan, headers={**plan.headers, "Content-Type": "text/plain"})
+    seen: dict[str, int] = {}
+    world.client.ask("good", plan, lambda end: seen.update(good=end.status))
+    odd.ask("odd", plan, lambda end: seen.update(odd=end.status))
+    world.client.ask("typed", typed, lambda end: seen.update(typed=end.status))
+    world.until(lambda: len(seen) == 3)
+    assert seen == {"good": 200, "odd": 404, "typed": 415}
+    odd.close()
+    world.close()
+
+
 def test_a_key_with_another_body_is_told_and_scopes_are_kept_apart(tmp_path: Path) -> None:
     world = World(tmp_path)
     key = {"Idempotency-Key": "k"}
