--- a/quincepath/lab/audit.py
+++ b/quincepath/lab/audit.py
@@ -187,6 +187,8 @@
         for end in answers[:1]:
             if end.line.status > 0 and not _excused(book, ask, end.line.at, bounds):
                 book.peak("1: client's time", (end.line.at - ask.at) / ask.patience)
+            if end.line.status == -1 and end.line.at < ask.at + ask.patience:
+                continue  # it left before the time that it had told: nobody was there to be answered
             if end.line.status <= 0 and not _excused(book, ask, end.line.at, bounds):
                 said = "the connection was lost" if end.line.status == 0 else "the client gave up waiting"
                 add(Finding(1, end.line.at, end.where, f"query {query} has no final answer: {said}"))
--- a/quincepath/lab/emulator/script.py
+++ b/quincepath/lab/emulator/script.py
@@ -72,6 +72,9 @@
     patience: tuple[float, float] = (0.6, 1.0)  # of the deadline, until a try is given up
     honour: Share = 0.8  # of clients that keep to Retry-After
     marks: bool = True  # a client's tries carry one key
+    tell: Share = (
+        1.0  # of clients that tell how long they wait; of others the broker takes the class's deadline
+    )
     desks: int = Field(1, ge=1, le=1000)  # to which queries belong in turn; each is a client to admission
 
 
--- a/quincepath/lab/emulator/sockets.py
+++ b/quincepath/lab/emulator/sockets.py
@@ -5,6 +5,7 @@
 
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -50,6 +51,7 @@
         self.queries = Source(seed, "queries")
         self.chance = Source(seed, "clients")
         self.more = Source(seed, "burst")
+        self.tell = Source(seed, "tell")
         self.heavy: dict[int, tuple[float, float]] = {}  # class: share of queries, times the work
         self.poison: dict[int, float] = {}  # class: share of queries
         self.heavily, self.poisonous = Source(seed, "heavy"), Source(seed, "poison")
@@ -312,8 +314,12 @@
         self.tries += 1
         share = self.chance.between(*traffic.patience) / self.hurry
         patience = max(min(int(entry.deadline * share), left), 1)
+        told = traffic.tell >= 1 or self.tell() < traffic.tell
         client = alive[int(self.chance() * len(alive))]
         plan = self._plan(kind, shards, meant, patience)
+        if not told:
+            del plan.headers["X-Quincepath-Timeout"]
+            plan = replace(plan, told=entry.deadline)
         if traffic.marks:
             plan.headers["Idempotency-Key"] = name
         if traffic.desks > 1:
--- a/quincepath/lab/emulator/world.py
+++ b/quincepath/lab/emulator/world.py
@@ -400,11 +400,12 @@
         traffic, draw = self.script.traffic, self.source("clients")
         share = draw.between(*traffic.patience) * self.patience_factor
         patience = max(min(int(entry.deadline * share), left), 1)
+        told = patience if traffic.tell >= 1 or self.source("tell")() < traffic.tell else entry.deadline
         broker = alive[int(draw() * len(alive))]
-        attempt = Try(client, client.name(), self.now, patience)
+        attempt = Try(client, client.name(), self.now, told)
         self.tally.tries += 1
         key = f"c{client.number}" if traffic.marks else ""
-        self.sink(AskLine(self.now, attempt.name, entry.name, client.shards, patience, broker.number, key))
+        self.sink(AskLine(self.now, attempt.name, entry.name, client.shards, told, broker.number, key))
         life = broker.life
         self.at(self.now + patience + GIVE_UP_AFTER, lambda: self._client_leaves(attempt, broker, life))
         self.after(
--- a/quincepath/lab/load.py
+++ b/quincepath/lab/load.py
@@ -28,6 +28,7 @@
     request: ReadRequest
     patience: int  # ns
     headers: dict[str, str] = field(default_factory=dict)
+    told: int = 0  # ns that the broker takes it to wait, where that is not its patience
 
 
 @dataclass(slots=True, frozen=True)
@@ -97,7 +98,8 @@
         began = self.loop.clock()
         if self.record:
             ask = plan.headers.get("Idempotency-Key", "")
-            self.record.write(Ask(began, name, plan.kind, plan.shards, plan.patience, self.broker, ask))
+            told = plan.told or plan.patience
+            self.record.write(Ask(began, name, plan.kind, plan.shards, told, self.broker, ask))
         over = False
 
         def end(status: int, response: Response | None) -> None:
