A real broker on the platform: its client protocol, frames to nodes and discovery

New package quincepath/platform on the loop, streams, HTTP reader, driver and door that the project has: config (one flattening, the reader of settings stays the only one), clients and frames (pure codecs), link (pure: which reply belongs to which attempt on one connection), nodes, targets (pure) with discovery, places (pure: who may hold descriptors), service. Load reports now reach the module's events. In net/: connecting in one place, a last answer is not destroyed by a close with unread bytes, the first request's time runs from the connect, an error in one callback can end its connection only, a body framed in two ways is refused.

First try: forgetting gone holders as soon as the grace was over made a late send 'unlisted' instead of 'past the grace' in the driver's tests; they are remembered for a minute now.

--- a/quincepath/broker/asks.py
+++ b/quincepath/broker/asks.py
@@ -51,13 +51,17 @@
 
 @dataclass(slots=True, frozen=True)
 class Ended:
-    """An attempt ended; ``body`` is its decoded answer where the result is OK, ``cause`` why it is not."""
+    """An attempt ended; ``body`` is its decoded answer where the result is OK, ``cause`` why it is not.
+
+    ``report`` holds the values of a load report that came with it, in the order of the settings.
+    """
 
     part: int
     attempt: int
     result: Result
     body: Any = None
     cause: str = ""
+    report: tuple[float, ...] = ()
 
 
 @dataclass(slots=True, frozen=True)
--- a/quincepath/broker/driver.py
+++ b/quincepath/broker/driver.py
@@ -59,6 +59,7 @@
     Watch,
 )
 
+FORGOTTEN = 60_000_000_000  # ns past the grace until a holder that is gone is forgotten
 TOLERANCE = 1e-4  # sums of weights may fall so much short: rounding
 
 
@@ -149,6 +150,10 @@
         """Queries and parts now held, ended ones with attempts still out among them."""
         return len(self.queries) + len(self.parts)
 
+    def held(self) -> int:
+        """Queries that are not over and their parts: what ``limits.maxOpen`` counts."""
+        return len(self.queries) + self._open_parts
+
     def lingering(self) -> int:
         """Parts of ended queries whose attempts are still out."""
         return len(self.parts) - self._open_parts
@@ -230,7 +235,7 @@
             part.ok, part.body = True, item.body  # a second copy's answer never replaces the first
         final = item.result is Result.OK or query.over or self.now >= query.deadline
         elapsed = self.now - attempt.sent
-        events.append(Outcome(part.id, item.attempt, attempt.node, item.result, elapsed, final, ()))
+        events.append(Outcome(part.id, item.attempt, attempt.node, item.result, elapsed, final, item.report))
         if query.over and not part.out():
             self._done.append(part.id)
 
@@ -242,6 +247,10 @@
             for node, known in self._nodes.items():
                 if node not in named and known.phase is not Phase.GONE:
                     known.phase, known.told = Phase.GONE, self.now
+        # Ids come and go all day: who has been gone for long is as unknown as one that was never named.
+        old = self.now - self.grace - FORGOTTEN
+        for node in [n for n, k in self._nodes.items() if k.phase is Phase.GONE and k.told < old]:
+            del self._nodes[node]
         for entry in members.entries:
             known = self._nodes.setdefault(entry.node, _Listed(entry.cell, Phase.READY, 0))
             if entry.phase is not Phase.READY and known.phase is Phase.READY:
--- /dev/null
+++ b/quincepath/net/dial.py
@@ -0,0 +1,74 @@
+"""Connecting without blocking, within a time."""
+
+import errno
+import os
+import socket
+from collections.abc import Callable
+
+from quincepath.net.loop import WRITE, Loop
+
+LATE = -1  # the code of a connection that was not established in time
+
+
+def why(code: int) -> str:
+    """The words for a code given to ``on_failed``."""
+    return "not established in time" if code == LATE else os.strerror(code)
+
+
+class Dial:
+    """One attempt to connect. ``on_open(sock)`` or ``on_failed(errno or LATE)`` is called once, later.
+
+    ``close`` gives up without a word.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        address: tuple[str, int],
+        timeout: int,
+        on_open: Callable[[socket.socket], None],
+        on_failed: Callable[[int], None],
+    ) -> None:
+        self.loop, self._on_open, self._on_failed = loop, on_open, on_failed
+        self.sock: socket.socket | None = None
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as error:  # out of descriptors: this connection is not had, the broker goes on
+            code = error.errno or errno.EMFILE
+            self.timer = loop.call_at(loop.now, lambda: self._fail(code))
+            return
+        sock.setblocking(False)
+        self.sock = sock
+        try:
+            code = sock.connect_ex(address)
+        except OSError as error:  # an address that is none
+            code = error.errno or errno.EADDRNOTAVAIL
+        if code not in (0, errno.EINPROGRESS):
+            self.timer = loop.call_at(loop.now, lambda: self._fail(code))
+            return
+        self.timer = loop.call_in(timeout, lambda: self._fail(LATE))
+        loop.watch(sock, WRITE, self._ready)
+
+    def _ready(self, _: int) -> None:
+        sock = self.sock
+        assert sock is not None
+        code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            self._fail(code)
+            return
+        self.timer.cancel()
+        self.loop.watch(sock, 0, self._ready)
+        self.sock = None
+        self._on_open(sock)
+
+    def _fail(self, code: int) -> None:
+        self.close()
+        self._on_failed(code)
+
+    def close(self) -> None:
+        """Give up, whatever the state."""
+        self.timer.cancel()
+        if self.sock is not None:
+            self.loop.watch(self.sock, 0, self._ready)
+            self.sock.close()
+            self.sock = None
--- a/quincepath/net/http1.py
+++ b/quincepath/net/http1.py
@@ -81,7 +81,12 @@
 
     def on_headers_complete(self) -> None:
         length = self._headers.get("content-length", "0")
-        if length.isdigit() and int(length) > self.limits.body:
+        # Whatever the parser lets pass: a body framed in two ways may hide another request.
+        if "transfer-encoding" in self._headers and "content-length" in self._headers:
+            self._fail(400, "both Content-Length and Transfer-Encoding")
+        if not (length.isascii() and length.isdigit()) or len(length) > 18:
+            self._fail(400, f"Content-Length {length[:40]!r} is not one length")
+        if int(length) > self.limits.body:
             self._fail(413, f"a body of {length} bytes where {self.limits.body} are allowed")
 
     def on_body(self, body: bytes) -> None:
--- a/quincepath/net/loop.py
+++ b/quincepath/net/loop.py
@@ -42,6 +42,8 @@
         self._stopped = False
         self._wake: tuple[socket.socket, socket.socket] | None = None
         self.turn_hooks: list[Callable[[], None]] = []
+        # With this set, an error in one callback is told here and ends its connection, not the process.
+        self.on_error: Callable[[Exception], None] | None = None
         self.turns = 0
         self.now = clock()
 
@@ -101,14 +103,25 @@
         for key, mask in ready:
             call: Any = key.data
             if self._selector.get_map().get(key.fd) is key:  # an earlier callback may have closed it
-                call(mask)
+                self._guarded(call, mask)
         while self._timers and self._timers[0][0] <= self.now:
             timer = heapq.heappop(self._timers)[2]
             due, timer.call = timer.call, None
             if due is not None:
-                due()
+                self._guarded(due)
         for hook in self.turn_hooks:
-            hook()
+            self._guarded(hook)
+
+    def _guarded(self, call: Any, *values: Any) -> None:
+        try:
+            call(*values)
+        except Exception as error:
+            if self.on_error is None:
+                raise
+            self.on_error(error)
+            fail = getattr(getattr(call, "__self__", None), "fail", None)
+            if fail is not None:
+                fail("internal error")
 
     def _wait(self, seconds: float) -> list[tuple[selectors.SelectorKey, int]]:
         """Wait for sockets; the one place where time passes. Tests put a virtual clock here."""
--- a/quincepath/net/server.py
+++ b/quincepath/net/server.py
@@ -15,17 +15,25 @@
 from quincepath.net.stream import Listener, Stream
 
 SWEEP = 250_000_000  # ns between looks for connections past a time limit
+LINGER_MOST = 1024 * 1024  # bytes read and dropped from a client that has its last answer
+JOINED = 16 * 1024  # bytes of a body that are copied behind the head
 AHEAD = 16  # pipelined requests read ahead at most; then the connection is not read until they are served
 TEXT = {"Content-Type": "text/plain; charset=utf-8"}
 
 
 @dataclass(slots=True, frozen=True)
 class Times:
-    """Nanoseconds: between requests, within one request's arrival, without a byte taken by the client."""
+    """Nanoseconds: between requests, within one request's arrival, without a byte taken by the client.
+
+    ``first``: from the connect until the first request is whole, 0 where that is as later ones. ``linger``:
+    how long a connection that was answered for the last time is still read from, so that the answer arrives.
+    """
 
     idle: int
     request: int
     write: int
+    first: int = 0
+    linger: int = 1_000_000_000
 
 
 class Exchange:
@@ -63,12 +71,16 @@
         self.since = server.loop.now  # of the state now: idle, or a request being read
         self.arriving = False
         self.closing = False
+        self.counted = True  # among the connections of its address
+        self.asked = False  # some request of it was whole
         self.error: HttpError | None = None
-        self.stream = Stream(server.loop, sock, self._data, self._closed, self._drained)
+        self.stream = Stream(server.loop, sock, self._data, self._closed)
 
     def _data(self, data: bytes) -> None:
         if not self.arriving:
-            self.arriving, self.since = True, self.server.loop.now
+            self.arriving = True
+            if self.asked or not self.server.times.first:  # the first request's time runs from the connect
+                self.since = self.server.loop.now
         try:
             self.reader.feed(data)
         except HttpError as error:
@@ -90,6 +102,7 @@
                 request = self.reader.done.popleft()
                 self.arriving = self.reader.busy
                 self.since = self.server.loop.now
+                self.asked = True
                 exchange = self.current = Exchange(self, request)
                 self.server.counts["requests"] += 1
                 self.server.handler(exchange)
@@ -103,20 +116,27 @@
         """Send the open request's answer and go on to the next request."""
         self.current = None
         self.since = self.server.loop.now
-        self._send(status, headers, body, keep_alive and not self.server.draining)
+        self._send(status, headers, body, keep_alive and not self.server.last_answers)
         if not self.closing:
             self.server.loop.call_at(self.server.loop.now, self._next)  # not from within the handler
 
     def _send(self, status: int, headers: dict[str, str], body: bytes, keep_alive: bool) -> None:
         if not keep_alive:
-            self.closing = True
+            self.closing, self.since = True, self.server.loop.now
+            self.server.uncount(self)
             self.stream.pause()
-        self.stream.write(response_head(status, headers, len(body), keep_alive), body)
+        head = response_head(status, headers, len(body), keep_alive)
+        if len(body) < JOINED:
+            self.stream.write(head + body)  # one call to the system
+        else:
+            self.stream.write(head, body)
+        if not keep_alive:
+            self.stream.finish(LINGER_MOST, lambda: self._closed("answered and closed"))
 
-    def _drained(self) -> None:
-        if self.closing and not self.stream.closed:
-            self.stream.close()
-            self._closed("answered and closed")
+    def waits(self) -> bool:
+        """Whether it may be closed without breaking anything off: no request open, none begun or unread."""
+        idle = self.current is None and not self.arriving and not self.closing and not self.stream.pending
+        return idle and self.stream.quiet()
 
     def _closed(self, _why: str) -> None:
         self.server.forget(self)
@@ -124,6 +144,10 @@
         if exchange is not None and exchange.on_left is not None:
             exchange.on_left()
 
+    def fail(self, why: str) -> None:
+        """End this connection after an error of this program."""
+        self.stream.fail(why)
+
     def refuse(self, why: str) -> None:
         """Answer before any request and close: the client is told, not just cut off."""
         self._send(503, {**TEXT, "Retry-After": "1"}, why.encode() + b"\n", keep_alive=False)
@@ -133,12 +157,26 @@
         if self.stream.pending:
             if now > self.stream.progress_at + times.write:
                 self._cut("slow_readers")
+        elif self.closing:
+            if now > self.since + times.linger:
+                self._cut("lingered")
+        elif self.current is None and not self.asked and times.first:
+            if now > self.since + times.first:
+                self._late()
         elif self.current is None and self.arriving:
             if now > self.since + times.request:
-                self.server.counts["slow_senders"] += 1
-                self._send(408, TEXT, b"the request did not arrive in time\n", keep_alive=False)
+                self._late()
         elif self.current is None and (now > self.since + times.idle or self.server.draining):
-            self._cut("idle_closed")
+            if self.stream.quiet():  # else a whole request may lie unread: it is read in this turn
+                self._cut("idle_closed")
+
+    def _late(self) -> None:
+        self.server.counts["slow_senders"] += 1
+        self._send(408, TEXT, b"the request did not arrive in time\n", keep_alive=False)
+
+    def cut(self, count: str) -> None:
+        """Close without an answer; counted by name."""
+        self._cut(count)
 
     def _cut(self, count: str) -> None:
         self.server.counts[count] += 1
@@ -161,14 +199,17 @@
         on_rest: Callable[[str], None] = lambda why: None,
         on_peer: Callable[[Peer], None] = lambda peer: None,
         most_per_address: int = 0,
+        make_room: Callable[["HttpServer", Peer], None] = lambda server, peer: None,
     ) -> None:
+        self.make_room = make_room  # asked after each new connection; may cut others, or this one
+        self.last_answers = False  # each answer is the last on its connection
         self.on_peer = on_peer
         self.most_per_address = most_per_address  # 0: no bound
         self.by_address: Counter[str] = Counter()
         self.loop, self.handler, self.limits, self.times = loop, handler, limits, times
         self.peers: dict[Peer, None] = {}
         self.counts: Counter[str] = Counter()
-        self.draining = False
+        self.draining = False  # idle connections are closed
 
         def rest(why: str) -> None:
             self.counts["accept_rests"] += 1
@@ -188,11 +229,18 @@
             peer.refuse("too many connections from this address")
             return
         self.on_peer(peer)
+        self.make_room(self, peer)
 
     def forget(self, peer: Peer) -> None:
         """A connection is closed."""
         if peer in self.peers:
             del self.peers[peer]
+            self.uncount(peer)
+
+    def uncount(self, peer: Peer) -> None:
+        """A connection holds no place of its address any more: it is closed, or has its last answer."""
+        if peer.counted:
+            peer.counted = False
             self.by_address[peer.address] -= 1
             if not self.by_address[peer.address]:
                 del self.by_address[peer.address]
@@ -203,9 +251,13 @@
         if not self.listener.closed or self.peers:
             self.loop.call_in(SWEEP, self._sweep)
 
+    def retire(self) -> None:
+        """Go on accepting and answering, but each answer is the last on its connection."""
+        self.last_answers = True
+
     def drain(self) -> None:
         """Accept no more; idle connections close, open requests are still answered."""
-        self.draining = True
+        self.draining = self.last_answers = True
         self.listener.close()
         for peer in list(self.peers):
             peer.expire(self.loop.now, self.times)
--- a/quincepath/net/stream.py
+++ b/quincepath/net/stream.py
@@ -35,6 +35,8 @@
         self.progress_at = loop.now
         self.closed = False
         self._reading = True
+        self._finishing: Callable[[], None] | None = None
+        self._discard = 0
         sock.setblocking(False)
         if sock.family in (socket.AF_INET, socket.AF_INET6):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -63,6 +65,43 @@
         self._reading = True
         self._rewatch()
 
+    def finish(self, most: int, on_done: Callable[[], None]) -> None:
+        """Say no more: what is written goes out, then the end of the stream; ``on_done`` when all is over.
+
+        Guards against a reset that destroys the answer: closing with unread bytes sends one. What the peer
+        still sends, up to ``most`` bytes, is read and dropped; then, or on any error, the socket is closed.
+        The caller bounds the time.
+        """
+        if self.closed:
+            on_done()
+            return
+        self._finishing, self._discard = on_done, most
+        if not self._out:
+            self._shut()
+
+    def _shut(self) -> None:
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self._end_finish()
+            return
+        self.resume()
+
+    def _end_finish(self) -> None:
+        done, self._finishing = self._finishing, None
+        self.close()
+        if done is not None:
+            done()
+
+    def quiet(self) -> bool:
+        """Whether nothing that the peer sent lies unread."""
+        try:
+            return not self.sock.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return True
+        except OSError:
+            return True
+
     def close(self, reset: bool = False) -> None:
         """Close without a word to ``on_close``; ``reset`` drops what is buffered and sends RST."""
         if self.closed:
@@ -94,7 +133,11 @@
             except OSError as error:
                 self._lost(error.strerror or str(error))
                 return
-            if data:
+            if self._finishing is not None:
+                self._discard -= len(data)
+                if not data or self._discard < 0:
+                    self._end_finish()
+            elif data:
                 self._on_data(data)
             else:
                 self._lost("end of stream")
@@ -115,13 +158,23 @@
             self._lost(error.strerror or str(error))
             return
         self._rewatch()
-        if not self._out and self._on_drained is not None:
+        if not self._out and self._finishing is not None:
+            self._shut()
+        elif not self._out and self._on_drained is not None:
             self._on_drained()
 
     def _lost(self, why: str) -> None:
+        if self._finishing is not None:
+            self._end_finish()
+            return
         self.close()
         self._on_close(why)
 
+    def fail(self, why: str) -> None:
+        """End this connection after an error of this program; its owner is told."""
+        if not self.closed:
+            self._lost(why)
+
 
 class Listener:
     """Accepts on one address. At ``most`` open streams, or out of descriptors, it rests instead of spinning.
--- /dev/null
+++ b/quincepath/platform/clients.py
@@ -0,0 +1,137 @@
+"""The platform's client protocol, sans I/O: a whole request to an ``Ask``, a ``Finish`` to a response. Pure.
+
+Everything that a client says is checked here before anything else sees it; an id ends up in a line of text
+that nodes read, so only plain characters pass.
+"""
+
+import math
+import re
+from collections.abc import Container
+
+import msgspec
+
+from quincepath.broker.asks import Ask, Finish, PartAsk, Verdict
+from quincepath.net.http1 import Request
+from quincepath.platform.config import Site, plain
+
+ID = re.compile(r"[A-Za-z0-9._~:-]{1,128}")
+DIGITS = re.compile(r"[0-9]{1,9}")
+ID_HEADER, CLASS_HEADER, TENANT_HEADER = "req-id", "req-kind", "req-owner"
+DEADLINE_HEADER, RETRY_HEADER = "req-deadline-ms", "req-retry"
+WEIGHT_SLACK = 1e-3  # sums of portions are rounded by whoever writes them
+TEXT_MOST = 16 * 1024  # bytes of a query's text
+MS = 1_000_000
+JSON = {"Content-Type": "application/json"}
+TEXT = {"Content-Type": "text/plain; charset=utf-8"}
+
+
+class BadQuery(ValueError):
+    """The request is none that a client may make; ``status`` is what it is told."""
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.status = status
+
+
+class _Range(msgspec.Struct):
+    range: int
+    portion: float
+    price: float = 0.0
+    hash: str = ""
+
+
+class _Body(msgspec.Struct):
+    ranges: list[_Range]
+    predicate: str
+
+
+class _Value(msgspec.Struct):
+    range: int
+    blob: str
+
+
+class _Answer(msgspec.Struct):
+    total: bool
+    answers: list[_Value]
+
+
+_decoder = msgspec.json.Decoder(_Body)
+_encoder = msgspec.json.Encoder()
+
+
+def _header(request: Request, name: str, pattern: re.Pattern[str] | None = None) -> str:
+    value = request.headers.get(name)
+    if value is None:
+        raise BadQuery(400, f"header {name} is missing")
+    if pattern is not None and not pattern.fullmatch(value):
+        raise BadQuery(400, f"header {name}: {value[:60]!r} is not allowed there")
+    return value
+
+
+def _position(names: tuple[str, ...], name: str, what: str, status: int) -> int:
+    try:
+        return names.index(plain(name))
+    except ValueError:
+        raise BadQuery(status, f"{what} {name[:60]!r} is unknown") from None
+
+
+def _parts(body: bytes, site: Site) -> tuple[PartAsk, ...]:
+    try:
+        query = _decoder.decode(body)
+        text = query.predicate.encode()
+    except (msgspec.DecodeError, RecursionError, UnicodeError) as error:
+        raise BadQuery(400, f"body: {error}") from None
+    if not query.ranges:
+        raise BadQuery(400, "body: ranges is empty")
+    if len(text) > TEXT_MOST:
+        raise BadQuery(413, f"body: predicate of {len(text)} bytes, {TEXT_MOST} are allowed")
+    seen: set[int] = set()
+    total = 0.0
+    for at, item in enumerate(query.ranges):
+        if not 0 <= item.range < site.shards:
+            raise BadQuery(400, f"body: ranges[{at}].range {item.range}, 0 to {site.shards - 1} are served")
+        if item.range in seen:
+            raise BadQuery(400, f"body: ranges[{at}].range {item.range} appears twice")
+        if not math.isfinite(item.portion) or not 0 < item.portion <= 1 + WEIGHT_SLACK:
+            raise BadQuery(400, f"body: ranges[{at}].portion {item.portion}, over 0 up to 1 was expected")
+        seen.add(item.range)
+        total += item.portion
+    if abs(total - 1) > WEIGHT_SLACK:
+        raise BadQuery(400, f"body: portions add up to {total:.6f}, not 1")
+    return tuple(PartAsk(item.range, item.portion, text) for item in query.ranges)
+
+
+def read_query(request: Request, handle: int, site: Site, open_names: Container[str]) -> Ask:
+    """A request as the driver takes it; raises ``BadQuery``."""
+    if request.method != "POST":
+        raise BadQuery(405, f"method {request.method[:20]!r}, POST was expected")
+    name = _header(request, ID_HEADER, ID)
+    kind_name = _header(request, CLASS_HEADER)
+    kind = _position(site.classes, kind_name, "class", 404)
+    if request.path.split("/")[1:2] != [kind_name]:
+        raise BadQuery(404, f"path {request.path[:60]!r} does not begin with the class {kind_name!r}")
+    tenant = 0
+    if site.tenants:
+        tenant = _position(site.tenants, _header(request, TENANT_HEADER), "tenant", 400)
+    time_left = int(_header(request, DEADLINE_HEADER, DIGITS)) * MS
+    parts = _parts(request.body, site)
+    if name in open_names:
+        raise BadQuery(409, f"header {ID_HEADER}: {name!r} is the id of a request that is open")
+    repeat = request.headers.get(RETRY_HEADER) == "1"
+    return Ask(handle, kind, time_left, parts, tenant, repeat=repeat, name=name)
+
+
+def write_finish(finish: Finish) -> tuple[int, dict[str, str], bytes]:
+    """Status, headers and body of a final answer. ``retry_in`` 0 gives no advice."""
+    if finish.verdict is Verdict.ANSWERED:
+        values = [_Value(shard, body) for _, shard, body in finish.bodies]
+        return 200, JSON, _encoder.encode(_Answer(finish.whole, values))
+    if finish.verdict is Verdict.REFUSED:
+        return refusal(finish.cause, finish.retry_in)
+    return 504 if finish.cause == "time is up" else 502, TEXT, f"failed: {finish.cause}\n".encode()
+
+
+def refusal(cause: str, retry_in: int) -> tuple[int, dict[str, str], bytes]:
+    """A refusal: asking again is harmless."""
+    advice = {"Retry-After": f"{retry_in / 1e9:.3f}"} if retry_in else {}
+    return 503, TEXT | advice, f"refused: {cause}; asking again is harmless\n".encode()
--- /dev/null
+++ b/quincepath/platform/frames.py
@@ -0,0 +1,130 @@
+"""Frames between broker and node, sans I/O: bytes to replies, calls and give-ups to bytes. Pure.
+
+A frame is a length of four bytes, least significant first, that covers a letter and what follows it. Sizes
+are checked before anything is stored: a reply that is declared too long is spoilt at its first five bytes.
+"""
+
+import re
+from collections.abc import Sequence
+from dataclasses import dataclass
+from struct import Struct
+
+LENGTH = Struct("<I")
+HEAD = 5  # length and letter
+FRAME_MOST = 64 * 1024  # bytes after the length that a node may send in one frame
+LINE_MOST = 1024  # bytes of a reply's line
+_LINE = re.compile(rb"([!-~]{1,256}) (good|bad|later) (-?[0-9]{1,24}) ([!-~]+)")
+
+
+class Spoilt(Exception):
+    """The bytes of a node are no frame: the connection is of no further use. ``id`` where it was readable."""
+
+    def __init__(self, text: str, part: bytes = b"") -> None:
+        super().__init__(text)
+        self.text, self.part = text, part
+
+
+@dataclass(slots=True, frozen=True)
+class CallPart:
+    """One part of a call; ``wait`` in milliseconds."""
+
+    id: bytes
+    shard: int
+    wait: int
+    text: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Reply:
+    """How one part ended at the node: ``good``, ``bad`` or ``later``; ``value`` is text."""
+
+    id: bytes
+    end: bytes
+    report: bytes
+    value: str
+
+
+def _frame(letter: bytes, rest: bytes) -> bytes:
+    return LENGTH.pack(1 + len(rest)) + letter + rest
+
+
+def call_frame(parts: Sequence[CallPart]) -> bytes:
+    """One call."""
+    pieces = []
+    for part in parts:
+        pieces.append(b"%s %d d=%d %d\n" % (part.id, part.shard, part.wait, len(part.text)))
+        pieces.append(part.text)
+    return _frame(b"m", b"".join(pieces))
+
+
+def give_up_frame(part: bytes) -> bytes:
+    """A part that nobody waits for any more."""
+    return _frame(b"n", part)
+
+
+def read_report(text: bytes, fields: Sequence[str]) -> tuple[float, ...]:
+    """The values of a load report by field; empty where any of them is missing or unreadable."""
+    found = dict(item.partition(b"=")[::2] for item in text.split(b","))
+    try:
+        values = tuple(float(found[name.encode()]) for name in fields)
+    except (KeyError, ValueError):
+        return ()
+    return values if all(0 <= value < 1e12 for value in values) else ()
+
+
+class FrameReader:
+    """``feed`` puts whole replies into ``done``; what is there before bytes that are spoilt stays good."""
+
+    def __init__(self) -> None:
+        self.done: list[Reply] = []
+        self._buffer = bytearray()
+
+    @property
+    def inside(self) -> bool:
+        """Whether a frame has begun and not ended."""
+        return bool(self._buffer)
+
+    def feed(self, data: bytes) -> None:
+        """Take bytes; raises ``Spoilt``."""
+        buffer = self._buffer
+        buffer += data
+        at = 0
+        try:
+            while len(buffer) - at >= HEAD:
+                size = LENGTH.unpack_from(buffer, at)[0]
+                letter = buffer[at + 4]
+                if letter not in b"qr":
+                    raise Spoilt(f"letter {letter} is unknown")
+                if not 1 < size <= FRAME_MOST:
+                    raise Spoilt(f"a frame of {size} bytes, 2 to {FRAME_MOST} are allowed")
+                end = at + 4 + size
+                line = buffer.find(b"\n", at + HEAD, min(end, at + HEAD + LINE_MOST))
+                if letter == ord("r"):
+                    if len(buffer) >= end:
+                        words = bytes(buffer[at + HEAD : end][:200]).decode("ascii", "replace")
+                        raise Spoilt(f"the node could not use a frame: {words!r}")
+                    return
+                if line < 0:
+                    if len(buffer) >= min(end, at + HEAD + LINE_MOST):
+                        raise Spoilt("a reply's line does not end")
+                    return
+                match = _LINE.fullmatch(bytes(buffer[at + HEAD : line]))
+                if match is None:
+                    raise Spoilt("a reply's line cannot be read")
+                if len(buffer) < end:
+                    return
+                self.done.append(self._reply(match, bytes(buffer[line + 1 : end])))
+                at = end
+        finally:
+            del buffer[:at]
+
+    @staticmethod
+    def _reply(match: re.Match[bytes], value: bytes) -> Reply:
+        part, end, _, report = match.groups()
+        try:
+            text = value.decode()
+        except UnicodeDecodeError:
+            raise Spoilt("a value is not UTF-8", part) from None
+        if not text.isprintable() or end == b"good" and not text:
+            raise Spoilt("a value is empty or holds control characters", part)
+        return Reply(part, end, report, text)
--- /dev/null
+++ b/quincepath/platform/link.py
@@ -0,0 +1,103 @@
+"""What is out on one connection to a node, sans I/O: which reply belongs to which attempt. Pure.
+
+All attempts of a part have the same id on the wire. So that a late reply is never booked to a newer attempt,
+a connection carries an id once: after an attempt was given up its id does not go there again. Ids given
+up are remembered for as long as the connection lives; their number is bounded by retiring the connection,
+which then takes nothing new.
+"""
+
+from collections.abc import Hashable
+from dataclasses import dataclass
+
+from quincepath.platform.frames import FrameReader, Reply, Spoilt
+
+GIVEN_UP_MOST = 0.5  # of the places on a connection that parts given up may still hold until it is retired
+ANSWERED_MOST = 512  # ids answered, remembered: a second copy follows its first at once
+QUIET_DIALS = 2  # a connection on which parts wait and nothing came for so many dial time-outs is doubted
+IDLE_SHARE = 0.7  # of the idle time: an older connection may be closed at the other end by now
+STALL_DIALS = 2  # a reply that began and does not go on for so many dial time-outs is spoilt
+
+
+@dataclass(slots=True, frozen=True)
+class LinkTimes:
+    """Nanoseconds, from the settings."""
+
+    dial: int
+    idle: int
+
+
+class Link:
+    """One connection. Keys are the caller's own names of attempts."""
+
+    def __init__(self, places: int, times: LinkTimes, now: int) -> None:
+        self.places, self.times = max(places, 1), times
+        self.reader = FrameReader()
+        self.live: dict[bytes, Hashable] = {}
+        self.given_up: set[bytes] = set()
+        self.answered: dict[bytes, None] = {}
+        self.retired = False
+        self.used_at = now  # when bytes last went either way
+        self.waiting_since = now  # since when something is out with nothing heard
+
+    def room(self, now: int) -> bool:
+        """Whether something new may go out: not full, not retired, not doubted, not near its idle end."""
+        if self.retired or len(self.live) + len(self.given_up) >= self.places:
+            return False
+        return not self.doubted(now) and now < self.used_at + int(IDLE_SHARE * self.times.idle)
+
+    def doubted(self, now: int) -> bool:
+        """Parts wait and nothing comes: the machine may have vanished, and this connection would not tell.
+
+        A new connection tells: it comes up where the machine is there, and proves otherwise that nothing ran.
+        """
+        waits = bool(self.live or self.given_up)
+        return waits and now > self.waiting_since + QUIET_DIALS * self.times.dial
+
+    def may_carry(self, part: bytes) -> bool:
+        """Whether a reply to this id could only belong to the attempt that is about to go out."""
+        return part not in self.live and part not in self.given_up and part not in self.answered
+
+    def put(self, now: int, part: bytes, key: Hashable) -> None:
+        """A part's frame was handed to this connection."""
+        if not self.live:
+            self.waiting_since = now
+        self.live[part] = key
+        self.used_at = now
+
+    def give_up(self, part: bytes) -> None:
+        """Nobody waits for a part any more; its reply may still come."""
+        if self.live.pop(part, None) is not None:
+            self.given_up.add(part)
+            self.retired |= len(self.given_up) >= GIVEN_UP_MOST * self.places
+
+    def take_back(self, part: bytes) -> None:
+        """A part's frame never left: no reply can come."""
+        self.live.pop(part, None)
+
+    def stalled(self, now: int) -> bool:
+        """A reply has begun and does not go on: guards against a length that does not fit."""
+        return self.reader.inside and now > self.used_at + STALL_DIALS * self.times.dial
+
+    def receive(self, now: int, data: bytes) -> tuple[list[tuple[Hashable, Reply]], Spoilt | None]:
+        """Replies by attempt, and what is wrong with the bytes after them, if anything is."""
+        self.used_at = self.waiting_since = now
+        spoilt: Spoilt | None = None
+        try:
+            self.reader.feed(data)
+        except Spoilt as error:
+            spoilt = error
+        found: list[tuple[Hashable, Reply]] = []
+        replies, self.reader.done = self.reader.done, []
+        for reply in replies:
+            key = self.live.pop(reply.id, None)
+            if key is not None:
+                found.append((key, reply))
+                self.answered[reply.id] = None
+                if len(self.answered) > ANSWERED_MOST:
+                    del self.answered[next(iter(self.answered))]
+            elif reply.id in self.given_up:
+                self.given_up.discard(reply.id)
+                self.answered[reply.id] = None
+            elif reply.id not in self.answered:  # a second copy of an answer is no harm
+                return found, spoilt or Spoilt("a reply to a part that was never sent here")
+        return found, spoilt
--- /dev/null
+++ b/quincepath/platform/places.py
@@ -0,0 +1,70 @@
+"""Who may hold how many of the process's descriptors, for how long, and who goes first. Pure.
+
+Descriptors are split between clients and nodes, with a reserve for everything else, so that a flood of
+connections can never stop a call to a node. Over the clients' part the connection that is worth least goes.
+"""
+
+import heapq
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from typing import Protocol, TypeVar
+
+MS = 1_000_000
+SECOND = 1000 * MS
+RESERVE = 24  # listener, selector, wake-up pair, standard streams, discovery old and new, files read
+CLIENT_SHARE = 0.6  # of what is left; clients use a third of all for requests
+NODE_MOST = 4  # connections to one node: one that works, one doubted, and two that still wait for answers
+FIRST = 2 * SECOND  # from a connect until its first request is whole
+REQUEST = 2 * SECOND  # from the first byte of a later request until it is whole
+IDLE = 5 * SECOND  # between requests
+WRITE = 3 * SECOND  # without a byte taken by the client
+LINGER = SECOND // 2  # after the last answer on a connection, for the client to read it
+BODY_MOST = 64 * 1024
+HEAD_MOST = 8 * 1024
+SETTLE = 20 * MS  # a connection so young is not closed for its silence: its request is on its way
+
+
+@dataclass(slots=True, frozen=True)
+class Places:
+    """Most connections."""
+
+    clients: int
+    nodes: int
+
+
+def split(descriptors: int) -> Places:
+    """Divide what the process may hold."""
+    free = max(descriptors - RESERVE, 16)
+    clients = int(free * CLIENT_SHARE)
+    return Places(clients, free - clients)
+
+
+class Connection(Protocol):
+    """What is looked at to choose."""
+
+    asked: bool
+    arriving: bool
+    since: int
+
+    def waits(self) -> bool:
+        """Whether it may be closed with nothing broken off."""
+        ...
+
+
+C = TypeVar("C", bound=Connection)
+
+
+def _worth(connection: Connection, now: int) -> tuple[int, int]:
+    if not connection.asked and not connection.arriving and now > connection.since + SETTLE:
+        return 0, connection.since  # silent since it came
+    if connection.asked and not connection.arriving:
+        return 1, connection.since  # between requests
+    return 2, connection.since  # a request that has begun
+
+
+def victim(now: int, connections: Iterable[C], open_requests: Sequence[C] = ()) -> C | None:
+    """The connection to close for a new one; None where each has a request open: then the new one goes."""
+    for connection in heapq.nsmallest(8, connections, key=lambda c: _worth(c, now)):
+        if connection.waits():
+            return connection
+    return None
--- /dev/null
+++ b/quincepath/platform/service.py
@@ -0,0 +1,331 @@
+"""The broker on the platform: clients, driver, nodes and discovery on one loop. Wires; decides nothing."""
+
+import logging
+import os
+import time
+from collections import Counter
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from quincepath.broker.asks import (
+    Arrived,
+    Breach,
+    ClientLeft,
+    Ended,
+    Finish,
+    Input,
+    Listed,
+    ReadList,
+    StartCall,
+    StopAttempt,
+    Told,
+    Verdict,
+)
+from quincepath.broker.driver import Driver, Module
+from quincepath.interface import Members, NodeId, Phase, Scope, Settings
+from quincepath.limits.door import Bounds, Door
+from quincepath.net.http1 import Limits
+from quincepath.net.loop import Loop, Timer
+from quincepath.net.server import Exchange, HttpServer, Peer, Times
+from quincepath.platform import places
+from quincepath.platform.clients import BadQuery, read_query, refusal, write_finish
+from quincepath.platform.config import Address, Configuration
+from quincepath.platform.discovery import Discovery
+from quincepath.platform.link import LinkTimes
+from quincepath.platform.nodes import Nodes
+from quincepath.platform.targets import TargetList, Targets, read_list
+from quincepath.policy import Aggregator
+
+MS = 1_000_000
+SECOND = 1000 * MS
+REPORT = 10 * SECOND  # between two lines of counts
+LATE = 700 * MS  # after SIGTERM, requests that still come are served; then the listener closes
+ENDING = 50 * MS  # how often it is looked whether all is answered
+log = logging.getLogger("quincepath")
+
+
+class Broker:
+    """One broker. ``on_ended`` is called once after ``stop`` when nothing is owed any more."""
+
+    def __init__(
+        self,
+        config: Configuration,
+        loop: Loop,
+        make_module: Callable[[Settings, int], Module] = Aggregator,
+        wall_ms: Callable[[], float] = lambda: time.time() * 1000,
+    ) -> None:
+        self.config, self.loop, self.site, self._wall_ms = config, loop, config.site, wall_ms
+        self.counts: Counter[str] = Counter()
+        self.driver = Driver(make_module(config.settings, config.seed), config.settings, config.site.grace)
+        self.door = Door(
+            Bounds(config.site.max_open, config.settings.limits.max_retry_after), config.seed + 1
+        )
+        self.targets = Targets(config.site.zones, config.site.kinds)
+        self.open: dict[int, Exchange] = {}
+        self.names: dict[str, int] = {}  # of open queries
+        self._name_of: dict[int, str] = {}
+        self._inputs: list[Input] = []
+        self._handles = 0
+        self._due: Timer | None = None
+        self._due_at = 0
+        self.stopping = False
+        self.on_ended: Callable[[], None] | None = None
+        self.slowest_turn = self.latest = 0
+        room = places.split(config.limits.sockets)
+        limits = config.settings.limits
+        self.nodes = Nodes(
+            loop, config.site.streams, LinkTimes(limits.connect_timeout, limits.idle_close),
+            places.NODE_MOST, room.nodes, self._where, self._ended, config.site.report_fields,
+            self._node_event,
+        )  # fmt: skip
+        self.room = room
+        if config.known is not None:
+            self._listed(config.known, cached=True)
+        self.server = HttpServer(
+            loop, config.listen[0], config.listen[1], self._request,
+            Limits(places.HEAD_MOST, places.BODY_MOST),
+            Times(places.IDLE, places.REQUEST, places.WRITE, places.FIRST, places.LINGER),
+            room.clients + 8, self._rest, make_room=self._make_room,
+        )  # fmt: skip
+        self.discovery = Discovery(
+            loop, config.discovery, self._discovered, self._discovery_failed, config.seed + 2
+        )
+        loop.turn_hooks.append(self._turn)
+        loop.call_in(REPORT, self._report)
+
+    # --- clients ---
+
+    def _request(self, exchange: Exchange) -> None:
+        request = exchange.request
+        if request.method == "GET" and request.path.startswith("/-/"):
+            self._asked_about(exchange, request.path)
+            return
+        self._handles += 1
+        handle = self._handles
+        try:
+            ask = read_query(request, handle, self.site, self.names)
+        except BadQuery as error:
+            self.counts["bad"] += 1
+            exchange.request.keep_alive = False  # what else such a client sends is not worth reading
+            exchange.text(error.status, str(error))
+            return
+        away = self.door.admit(self.loop.now, self.driver.held() + self._arriving(), 1 + len(ask.parts))
+        if away is not None:
+            self.counts["turned away"] += 1
+            exchange.respond(*refusal(away.cause, self._advice(away.retry_in)))
+            return
+        self.counts["taken"] += 1
+        self.open[handle] = exchange
+        self.names[ask.name] = handle
+        self._name_of[handle] = ask.name
+        exchange.on_left = lambda: self._left(handle)
+        self._inputs.append(Arrived(ask))
+
+    def _arriving(self) -> int:
+        """Queries and parts taken in this turn, which the driver does not know yet."""
+        return sum(1 + len(item.ask.parts) for item in self._inputs if isinstance(item, Arrived))
+
+    def _advice(self, retry_in: int) -> int:
+        return retry_in if self.config.settings.limits.retry_after else 0
+
+    def _asked_about(self, exchange: Exchange, path: str) -> None:
+        if path == "/-/healthy":
+            exchange.text(200, "up")
+        elif path == "/-/ready":
+            ready = not self.stopping and (self.targets.version >= 0)
+            exchange.text(200 if ready else 503, "ready" if ready else "not ready")
+        elif path == "/-/state":
+            exchange.respond(200, {"Content-Type": "application/json"}, msgspec.json.encode(self.state()))
+        else:
+            exchange.text(404, "not found")
+
+    def _forget(self, handle: int) -> Exchange | None:
+        exchange = self.open.pop(handle, None)
+        name = self._name_of.pop(handle, "")
+        if self.names.get(name) == handle:
+            del self.names[name]
+        return exchange
+
+    def _left(self, handle: int) -> None:
+        if self._forget(handle) is not None:
+            self.counts["left"] += 1
+            self._inputs.append(ClientLeft(handle))
+
+    def _make_room(self, server: HttpServer, newest: Peer) -> None:
+        if len(server.peers) <= self.room.clients:
+            return
+        found = places.victim(self.loop.now, (peer for peer in server.peers if peer is not newest))
+        (found or newest).cut("cut for room")
+
+    def _rest(self, why: str) -> None:
+        self.counts["accept rests"] += 1
+
+    # --- nodes and their list ---
+
+    def _where(self, node: NodeId) -> Address | None:
+        known = self.targets.nodes.get(node)
+        return None if known is None else (known.host, known.port)
+
+    def _ended(self, ended: Ended) -> None:
+        self._inputs.append(ended)
+
+    def _node_event(self, what: str, node: NodeId, why: str) -> None:
+        self.counts[what] += 1
+        log.warning("%s node=%s cause=%s", what, node.decode("ascii", "replace"), why)
+
+    def _listed(self, told: TargetList, cached: bool = False) -> None:
+        news = self.targets.take(self.loop.now, self._wall_ms(), told, cached)
+        if news is None:
+            return
+        self._inputs.append(Listed(news))
+        named = set()
+        for entry in news.entries:
+            named.add(entry.node)
+            if entry.phase is not Phase.READY:
+                self.nodes.close_node(entry.node)
+                log.info("node=%s %s", entry.node.decode("ascii", "replace"), entry.phase.name.lower())
+        if news.scope is Scope.FULL:
+            for node in [node for node in self.nodes.connections if node not in named]:
+                self.nodes.close_node(node)
+
+    def _discovered(self, body: bytes) -> int:
+        self._listed(read_list(body))
+        return self.targets.version
+
+    def _discovery_failed(self, why: str) -> None:
+        self.counts["discovery failed"] += 1
+        log.warning("discovery failed: %s", why)
+        if self.site.must_ask:  # only who asks is told
+            self._inputs.append(Listed(Members(Scope.FAILED, max(self.targets.version, 0), ())))
+
+    # --- the driver ---
+
+    def _turn(self) -> None:
+        """The turn hook: one batch to the driver, its orders to the edge."""
+        began = self.loop.clock()
+        due = self.driver.next_due()
+        while self._inputs or due is not None and due <= self.loop.now:
+            inputs, self._inputs = self._inputs, []
+            for order in self.driver.step(self.loop.now, inputs):
+                self._carry_out(order)
+            due = self.driver.next_due()
+        if due is not None and (self._due is None or self._due.call is None or due < self._due_at):
+            if self._due is not None:
+                self._due.cancel()
+            self._due_at = due
+            self._due = self.loop.call_at(due, lambda: None)  # ends the wait; the hook does the rest
+        ended = self.loop.clock()
+        self.slowest_turn = max(self.slowest_turn, ended - began)
+        self.latest = max(self.latest, ended - self.loop.now)
+
+    def _carry_out(self, order: Any) -> None:
+        match order:
+            case StartCall():
+                self.nodes.start(order)
+            case StopAttempt(part, attempt):
+                self.nodes.stop(part, attempt)
+            case Finish():
+                self._finish(order)
+            case Told(text):
+                log.warning("module: %s", text)
+            case Breach(name, detail):
+                self.counts[f"breach {name}"] += 1
+                log.error("contract broken, made harmless: %s: %s", name, detail)
+            case ReadList():
+                self.discovery.ask_all()
+
+    def _finish(self, finish: Finish) -> None:
+        exchange = self._forget(finish.handle)
+        if exchange is None:
+            return
+        exchange.on_left = None
+        answered = finish.verdict is Verdict.ANSWERED
+        self.counts["whole" if answered and finish.whole else finish.verdict.value] += 1
+        if not answered:
+            self.counts[f"{finish.verdict.value}: {finish.cause}"] += 1
+        status, headers, body = write_finish(finish)
+        exchange.respond(status, headers, body)
+
+    # --- what is believed, and what is so ---
+
+    def state(self) -> dict[str, Any]:
+        """Counts, and the driver's outstanding attempts beside the connections' own, by node."""
+        believed: Counter[str] = Counter()
+        for part in self.driver.parts.values():
+            for attempt in part.attempts:
+                if not attempt.ended:
+                    believed[attempt.node.decode("ascii", "replace")] += 1
+        open_now = {
+            node.decode("ascii", "replace"): [
+                {
+                    "address": f"{c.address[0]}:{c.address[1]}", "out": len(c.link.live),
+                    "given_up": len(c.link.given_up), "dialling": c.dial is not None,
+                    "retired": c.link.retired,
+                }
+                for c in held
+            ]
+            for node, held in self.nodes.connections.items()
+        }  # fmt: skip
+        return {
+            "counts": dict(self.counts), "attempts": dict(self.nodes.counts),
+            "clients": len(self.server.peers),
+            "server": dict(self.server.counts), "open": len(self.open), "held": self.driver.held(),
+            "lingering": self.driver.lingering(), "out": dict(believed), "connections": open_now,
+            "list": {"version": self.targets.version, "nodes": len(self.targets.nodes)},
+        }  # fmt: skip
+
+    def _report(self) -> None:
+        self.loop.call_in(REPORT, self._report)
+        pages = 0
+        try:
+            with open("/proc/self/statm") as file:
+                pages = int(file.read().split()[1])
+        except OSError:
+            pass
+        log.info(
+            "counts=%s attempts=%s server=%s peers=%d nodes=%d parts=%d "
+            "turn_ms=%.1f late_ms=%.1f cpu_s=%.2f rss_kb=%d",
+            dict(self.counts), dict(self.nodes.counts), dict(self.server.counts), len(self.server.peers),
+            self.nodes.open_count(), len(self.driver.parts), self.slowest_turn / MS, self.latest / MS,
+            time.process_time(), pages * os.sysconf("SC_PAGE_SIZE") // 1024,
+        )  # fmt: skip
+        self.slowest_turn = self.latest = 0
+
+    # --- configuration and end ---
+
+    def move_discovery(self, address: Address) -> None:
+        """The configuration names another address."""
+        log.info("discovery is now at %s:%d", *address)
+        self.discovery.move(address)
+
+    def stop(self, on_ended: Callable[[], None]) -> None:
+        """Go on serving what still comes for a while, each answer the last on its connection; then end."""
+        if self.stopping:
+            return
+        log.info("stopping, %d queries open", len(self.open))
+        self.stopping = True
+        self.on_ended = on_ended
+        self.server.retire()
+        self.loop.call_in(LATE, self._close_door)
+
+    def _close_door(self) -> None:
+        self.server.drain()
+        self._end_when_done()
+
+    def _end_when_done(self) -> None:
+        if self.open or self.server.peers:
+            self.loop.call_in(ENDING, self._end_when_done)
+        elif self.on_ended is not None:
+            done, self.on_ended = self.on_ended, None
+            log.info("all is answered")
+            done()
+
+    def close(self) -> None:
+        """Give back all sockets."""
+        if self._turn in self.loop.turn_hooks:
+            self.loop.turn_hooks.remove(self._turn)
+        self.server.close()
+        self.nodes.close()
+        self.discovery.close()
--- a/quincepath/settings.py
+++ b/quincepath/settings.py
@@ -26,7 +26,7 @@
     return tuple(float(item) for item in _names(text))
 
 
-class _Reader:
+class Reader:
     """Looks values up by path, so that an error can name the path."""
 
     def __init__(self, text: str) -> None:
@@ -53,7 +53,7 @@
         return default
 
 
-def _query_class(r: _Reader, i: int) -> QueryClass:
+def _query_class(r: Reader, i: int) -> QueryClass:
     at = f"classes.{i}."
     effect = r.get(at + "effect", Effect)
     need = r.item("specifics.needByClass", i)
@@ -72,7 +72,7 @@
 
 def read_settings(text: str) -> Settings:
     """Build ``Settings``; unknown paths are ignored, a missing required one raises ``SettingsError``."""
-    r = _Reader(text)
+    r = Reader(text)
     budget_window = r.get("rules.countedOver", int, 0)
     return Settings(
         me=r.get("me", int, 0),
--- a/quincepath/upstream/outcomes.py
+++ b/quincepath/upstream/outcomes.py
@@ -21,7 +21,8 @@
     UNLISTED = "the holder is on no list any more"
     LOST_UNSENT = "connection lost before any byte of the request was taken"
     LOST = "connection lost while the call was out"
-    PROTOCOL = "the answer is not HTTP/1.1, or over a limit"
+    SPOILT = "given up with a connection on which an answer was spoilt"
+    PROTOCOL = "the answer does not follow the protocol, or is over a limit"
     TIMEOUT = "no whole answer in time"
     STOPPED = "stopped waiting"
 
@@ -34,6 +35,7 @@
     End.UNLISTED: Result.CONNECT_FAILED,
     End.LOST_UNSENT: Result.CONNECT_FAILED,
     End.LOST: Result.RESET,
+    End.SPOILT: Result.RESET,
     End.PROTOCOL: Result.ERROR,
     End.TIMEOUT: Result.TIMEOUT,
     End.STOPPED: Result.CANCELLED,
