At SIGTERM serve on over open connections until shortly before the kill

Ruled out: the watch (renewed, drains came within a tick), refusals by the module (counted apart), queries overdue (none).

Change: platform/ending.py (pure) says until when a query is taken after SIGTERM and cuts its time to the end; the connections that clients have stay open until then. Each query without an answer is logged with its cause; /-/state shows nodes by cell, the driver's outstanding attempts and those on the connections.

--- a/quincepath/platform/__main__.py
+++ b/quincepath/platform/__main__.py
@@ -81,7 +81,12 @@
     gc.collect()
     gc.freeze()
     gc.set_threshold(*GENERATIONS)
-    log.info("broker %s serves on %s:%d", config.name, *config.listen)
+    log.info("broker %s serves on %s:%d, %s, most open %d", config.name, *config.listen, config.limits,
+             config.site.max_open)  # fmt: skip
+    for spec in config.settings.classes:
+        log.info(
+            "class %s: target %.3f s, deadline %.3f s", spec.name, spec.target / 1e9, spec.deadline / 1e9
+        )
     loop.run()
     broker.close()
     loop.close()
--- a/quincepath/platform/service.py
+++ b/quincepath/platform/service.py
@@ -5,6 +5,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 import msgspec
@@ -33,6 +34,7 @@
 from quincepath.platform.clients import BadQuery, read_query, refusal, write_finish
 from quincepath.platform.config import Address, Configuration
 from quincepath.platform.discovery import Discovery
+from quincepath.platform.ending import Ending
 from quincepath.platform.link import LinkTimes
 from quincepath.platform.nodes import Nodes
 from quincepath.platform.targets import TargetList, Targets, read_list
@@ -41,7 +43,6 @@
 MS = 1_000_000
 SECOND = 1000 * MS
 REPORT = 10 * SECOND  # between two lines of counts
-LATE = 700 * MS  # after SIGTERM, requests that still come are served; then the listener closes
 ENDING = 50 * MS  # how often it is looked whether all is answered
 log = logging.getLogger("quincepath")
 
@@ -70,6 +71,8 @@
         self._handles = 0
         self._due: Timer | None = None
         self._due_at = 0
+        classes = config.settings.classes
+        self.ending = Ending([c.deadline for c in classes], [c.target for c in classes])
         self.stopping = False
         self.on_ended: Callable[[], None] | None = None
         self.slowest_turn = self.latest = 0
@@ -111,6 +114,14 @@
             exchange.request.keep_alive = False  # what else such a client sends is not worth reading
             exchange.text(error.status, str(error))
             return
+        left = self.ending.time_left(self.loop.now, ask.kind, ask.time_left)
+        if left is None:
+            self.counts["turned away at the end"] += 1
+            exchange.request.keep_alive = False
+            exchange.respond(*refusal("stopping", self._advice(self.door.turn_away("stopping").retry_in)))
+            return
+        if left < ask.time_left:
+            ask = replace(ask, time_left=left)
         away = self.door.admit(self.loop.now, self.driver.held() + self._arriving(), 1 + len(ask.parts))
         if away is not None:
             self.counts["turned away"] += 1
@@ -245,6 +256,11 @@
         self.counts["whole" if answered and finish.whole else finish.verdict.value] += 1
         if not answered:
             self.counts[f"{finish.verdict.value}: {finish.cause}"] += 1
+            log.info(
+                "query=%s %s: %s, %d of %d parts in, %d attempts, %.0f ms",
+                exchange.request.headers["req-id"], finish.verdict.value, finish.cause, finish.parts_in,
+                finish.parts_asked, finish.attempts, finish.took / MS,
+            )  # fmt: skip
         status, headers, body = write_finish(finish)
         exchange.respond(status, headers, body)
 
@@ -273,7 +289,14 @@
             "clients": len(self.server.peers),
             "server": dict(self.server.counts), "open": len(self.open), "held": self.driver.held(),
             "lingering": self.driver.lingering(), "out": dict(believed), "connections": open_now,
-            "list": {"version": self.targets.version, "nodes": len(self.targets.nodes)},
+            "list": {
+                (name := node.decode("ascii", "replace")): {
+                    "cell": known.cell, "phase": known.phase.name, "out": believed[name],
+                    "age_s": round((self.loop.now - known.since) / 1e9, 1) if known.since else None,
+                }
+                for node, known in self.targets.nodes.items()
+            },
+            "version": self.targets.version,
         }  # fmt: skip
 
     def _report(self) -> None:
@@ -301,14 +324,14 @@
         self.discovery.move(address)
 
     def stop(self, on_ended: Callable[[], None]) -> None:
-        """Go on serving what still comes for a while, each answer the last on its connection; then end."""
+        """Serve on for as long as ``Ending`` says, not ready any more; then end."""
         if self.stopping:
             return
         log.info("stopping, %d queries open", len(self.open))
         self.stopping = True
         self.on_ended = on_ended
-        self.server.retire()
-        self.loop.call_in(LATE, self._close_door)
+        self.ending.begin(self.loop.now)
+        self.loop.call_at(self.ending.takes_until(), self._close_door)
 
     def _close_door(self) -> None:
         self.server.drain()
@@ -320,6 +343,7 @@
         elif self.on_ended is not None:
             done, self.on_ended = self.on_ended, None
             log.info("all is answered")
+            self._report()
             done()
 
     def close(self) -> None:
--- a/quincepath/platform/targets.py
+++ b/quincepath/platform/targets.py
@@ -42,6 +42,7 @@
 
     host: str
     port: int
+    cell: int
     phase: Phase
     started_ms: int
     since: int
@@ -117,7 +118,7 @@
             host, _, port = target.addr.rpartition(":")
             if not host or not (port.isascii() and port.isdigit()) or not 0 < int(port) < 65536:
                 raise BadList(f"node {target.id}: address {target.addr!r}, host:port was expected")
-            self.nodes[node] = Known(host, int(port), phase, target.started_ms, since)
+            self.nodes[node] = Known(host, int(port), target.cell, phase, target.started_ms, since)
         return Entry(
             node, self.kinds.get(target.kind, 0), self.zones.get(target.zone, len(self.zones)),
             target.cell, since, phase, target.weight,
