--- a/quincepath/broker/driver.py
+++ b/quincepath/broker/driver.py
@@ -10,6 +10,7 @@
 """
 
 import heapq
+import traceback
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -168,7 +169,7 @@
         while self._timers and self._timers[0][0] <= self.now:
             events.append(TimerFired(heapq.heappop(self._timers)[2]))
         if events:
-            for action in self.module.handle(self.now, events):
+            for action in self._decide(events):
                 self._apply(action)
         self._end_overdue()
         # Not earlier: the module may stop an attempt for one event of a batch that ended by a later one.
@@ -179,6 +180,16 @@
         starts = [StartCall(node, tuple(call)) for node, calls in self._calls.items() for call in calls]
         return [*starts, *self._orders]
 
+    def _decide(self, events: list[Event]) -> list[Action]:
+        """The module's actions. A fault of it is told; queries that it forgot end at their deadline."""
+        try:
+            return self.module.handle(self.now, events)
+        except Exception as error:
+            at = traceback.extract_tb(error.__traceback__)[-1]
+            where = f"{at.filename}:{at.lineno}"
+            self._breach("module_failed", f"{type(error).__name__}: {error} at {where}, {len(events)} events")
+            return []
+
     # --- inputs to events ---
 
     def _take_in(self, item: Input, events: list[Event]) -> None:
--- a/quincepath/platform/frames.py
+++ b/quincepath/platform/frames.py
@@ -13,7 +13,7 @@
 HEAD = 5  # length and letter
 FRAME_MOST = 64 * 1024  # bytes after the length that a node may send in one frame
 LINE_MOST = 1024  # bytes of a reply's line
-_LINE = re.compile(rb"([!-~]{1,256}) (good|bad|later) (-?[0-9]{1,24}) ([!-~]+)")
+_LINE = re.compile(rb"([!-~]{1,256}) (good|bad|later) (-?[0-9]{1,24}) ([^\n]+)")
 
 
 class Spoilt(Exception):
--- a/quincepath/platform/link.py
+++ b/quincepath/platform/link.py
@@ -15,7 +15,7 @@
 ANSWERED_MOST = 512  # ids answered, remembered: a second copy follows its first at once
 QUIET_DIALS = 2  # a connection on which parts wait and nothing came for so many dial time-outs is doubted
 IDLE_SHARE = 0.7  # of the idle time: an older connection may be closed at the other end by now
-STALL_DIALS = 2  # a reply that began and does not go on for so many dial time-outs is spoilt
+STALL_DIALS = 0.5  # a reply that began and does not go on for so many dial time-outs is spoilt
 
 
 @dataclass(slots=True, frozen=True)
@@ -76,7 +76,7 @@
 
     def stalled(self, now: int) -> bool:
         """A reply has begun and does not go on: guards against a length that does not fit."""
-        return self.reader.inside and now > self.used_at + STALL_DIALS * self.times.dial
+        return self.reader.inside and now > self.used_at + int(STALL_DIALS * self.times.dial)
 
     def receive(self, now: int, data: bytes) -> tuple[list[tuple[Hashable, Reply]], Spoilt | None]:
         """Replies by attempt, and what is wrong with the bytes after them, if anything is."""
--- a/quincepath/platform/nodes.py
+++ b/quincepath/platform/nodes.py
@@ -128,7 +128,9 @@
     def spoil(self, spoilt: Spoilt) -> None:
         """The bytes cannot be used: the attempt concerned failed, the others go down with the connection."""
         self.owner.counts["spoilt"] += 1
-        concerned = self.link.live.get(spoilt.part)
+        # Which attempt the bytes were for is often unreadable: the one that has waited longest stands for it.
+        handed = [out for out in self.link.live.values() if isinstance(out, _Out) and out.handed]
+        concerned = self.link.live.get(spoilt.part) or (handed[0] if handed else None)
         if isinstance(concerned, _Out):
             self.link.give_up(concerned.id)
             self.owner.end(concerned, of_transport(End.PROTOCOL, spoilt.text))
--- a/quincepath/platform/targets.py
+++ b/quincepath/platform/targets.py
@@ -80,10 +80,8 @@
         # discovery that lags behind the one that told of a drain.
         stale = told.version < self.version
         for target in told.servers:
-            entry = self._entry(now, wall_ms, target)
-            if stale and (entry.phase is Phase.READY or entry.node not in self.nodes):
-                continue
-            entries.append(entry)
+            if not stale or target.state != "SERVING" and target.id.encode() in self.nodes:
+                entries.append(self._entry(now, wall_ms, target))
         full = told.full and not stale
         if full:
             named = {entry.node for entry in entries}
--- a/quincepath/upstream/outcomes.py
+++ b/quincepath/upstream/outcomes.py
@@ -35,7 +35,7 @@
     End.UNLISTED: Result.CONNECT_FAILED,
     End.LOST_UNSENT: Result.CONNECT_FAILED,
     End.LOST: Result.RESET,
-    End.SPOILT: Result.RESET,
+    End.SPOILT: Result.CANCELLED,  # by this broker: the node did not fail them, and did not die
     End.PROTOCOL: Result.ERROR,
     End.TIMEOUT: Result.TIMEOUT,
     End.STOPPED: Result.CANCELLED,
--- a/tests/fuzzing.py
+++ b/tests/fuzzing.py
@@ -19,9 +19,13 @@
 from quincepath.lab.emulator.recording import RecordingError, read_recording
 from quincepath.lab.emulator.script import Script
 from quincepath.net.http1 import HttpError, Limits, Request, RequestReader, ResponseReader, request_bytes
+from quincepath.platform.clients import BadQuery, read_query
+from quincepath.platform.frames import FrameReader, Spoilt
+from quincepath.platform.targets import BadList, read_list
 from quincepath.shards.shardmap import ShardMap
 from quincepath.standins.data import BEGIN_MS, END_MS, Store
 from quincepath.standins.leaf import parts_of
+from tests.standins.platform import configuration
 from tests.world import values
 
 ROOT = Path(__file__).parent.parent
@@ -139,6 +143,52 @@
             assert str(error)
 
 
+PLATFORM = configuration("h:1", "h:2").site
+PLATFORM_BODY = (
+    b'{"ranges":[{"range":3,"portion":0.5,"price":9000},{"range":7,"portion":0.5}],"predicate":"c4"}'
+)
+
+
+def platform_query(data: bytes) -> None:
+    """A body of the platform's protocol, and the same bytes as each header that matters."""
+    text = data.decode("latin-1")
+    good = {"req-id": "q", "req-kind": "any", "req-owner": "acme", "req-deadline-ms": "9"}
+    changes = [{}, *({name: text} for name in good)]
+    for change in changes:
+        request = Request("POST", "/any", {**good, **change}, PLATFORM_BODY if change else data)
+        try:
+            ask = read_query(request, 1, PLATFORM, {})
+        except BadQuery as error:
+            assert 400 <= error.status < 500 and str(error)
+        else:
+            assert ask.name.isascii() and ask.name.isprintable() and " " not in ask.name
+            assert abs(sum(part.weight for part in ask.parts) - 1) < 0.01
+
+
+def platform_frames(data: bytes) -> None:
+    """What a node sends: replies, or a spoilt connection; the same however the bytes are cut."""
+    found = []
+    for size in (len(data) or 1, 3):
+        reader, spoilt = FrameReader(), False
+        try:
+            for at in range(0, len(data), size):
+                reader.feed(data[at : at + size])
+        except Spoilt as error:
+            spoilt = bool(error.text)
+        found.append(([(r.id, r.end, r.value) for r in reader.done], spoilt))
+    assert found[0] == found[1]
+
+
+def platform_list(data: bytes) -> None:
+    """What discovery sends."""
+    try:
+        read_list(data)
+    except BadList as error:
+        assert str(error)
+
+
+FRAMES = b"\x18\0\0\0qq.3 good 17 inflight=2\nv1\x10\0\0\0qq.7 later 0 -\n"
+LIST = b'{"version":4,"full":true,"servers":[{"id":"s","addr":"10.0.0.1:70","cell":3,"state":"SERVING"}]}'
 CHUNKED = b"GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
 TARGETS: dict[str, tuple[Callable[[bytes], None], list[bytes]]] = {
     "http request": (http_request, [WIRE, WIRE * 2, CHUNKED]),
@@ -148,6 +198,9 @@
     "plan": (plan, [RAW, RAW * 3]),
     "header values": (header_values, [b"250ms", b"q1/0/1/0, q2/1/1/0", b"1"]),
     "yaml": (yaml, [CONFIG_TEXT[:600], b"a: [1, {b: c}]", b"holders: []\nversion: 1\n"]),
+    "platform query": (platform_query, [PLATFORM_BODY, b"q", b"12"]),
+    "platform frames": (platform_frames, [FRAMES, FRAMES * 2]),
+    "platform list": (platform_list, [LIST]),
     "recording": (recording, [b"QPREC\x01" + bytes(40)]),
 }  # fmt: skip
 
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Outside systems of the tests, written from their pages."""
--- a/tests/test_rings.py
+++ b/tests/test_rings.py
@@ -14,6 +14,8 @@
     "fronts/remote_read/codec.py",
     "fronts/remote_read/matchers.py", "fronts/remote_read/plan.py", "fronts/remote_read/front.py",
     "merge/series.py", "membership/roster.py", "shards/shardmap.py", "upstream/outcomes.py",
+    "platform/config.py", "platform/clients.py", "platform/frames.py", "platform/link.py",
+    "platform/places.py", "platform/targets.py", "platform/ending.py",
     "upstream/remote_read.py", "net/http1.py", "config/values.py", "config/schema.py",
 ]  # fmt: skip
 FORBIDDEN = {
@@ -29,7 +31,9 @@
     "pathlib",
 }
 EDGE = {"quincepath.net.loop", "quincepath.net.stream", "quincepath.net.server", "quincepath.upstream.pool",
-        "quincepath.broker.service", "quincepath.membership.source", "quincepath.config.load"}  # fmt: skip
+        "quincepath.broker.service", "quincepath.net.dial", "quincepath.platform.nodes",
+        "quincepath.platform.discovery", "quincepath.platform.service",
+        "quincepath.membership.source", "quincepath.config.load"}  # fmt: skip
 TOOLS = ("quincepath.lab", "quincepath.standins", "quincepath.cli")
 
 
