A further try of a part goes to the replica that it has met least

A part spent all its tries within milliseconds on the replica that turns parts away, since its count is low and its odds of failure weigh less than a sound but busy replica's queue (policy.py, _best_replica). Ruled out: the list (the node was still READY there), the pause between tries (it acts only when all replicas failed).

Change: among the replicas for a further try the one met least by this part comes first; the first send of each part, and so the ordinary path, is as before.

--- a/quincepath/policy.py
+++ b/quincepath/policy.py
@@ -360,17 +360,23 @@
         return node.call is not None and node.call.at == self.now and node.call.parts < self.limits.batch
 
     def _best_replica(self, part: PartState) -> tuple[Rank, Node] | None:
-        """The part's first choice; ranks are kept for the round, until a send changes them."""
+        """The part's first choice; ranks are kept for the round, until a send changes them.
+
+        A further try goes where the part was tried least: guards against spending all of them on one replica
+        that turns parts away faster than it can be learned.
+        """
         busy = [attempt.node for attempt in part.live]
-        best: tuple[Rank, Node] | None = None
+        tried = [attempt.node for attempt in part.attempts]
+        best: tuple[tuple[int, Rank], Node] | None = None
         for node in self._replicas(part.shard):
             if node.id not in self.ranks:
                 cold = self._cold_wait(node, part)
                 self.ranks[node.id] = None if cold else self._rank(node, part.query)
             rank = self.ranks[node.id]
             if rank is not None and node not in busy:
-                best = (rank, node) if best is None or rank < best[0] else best
-        return best
+                key = tried.count(node), rank
+                best = (key, node) if best is None or key < best[0] else best
+        return None if best is None else (best[0][1], best[1])
 
     def _warmth(self, node: Node) -> float:
         """Least share of its capacity that a node has now, by the stated ramp."""
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -412,3 +412,20 @@
             node.note(broker.now, 0, 0.0)
     assert node.load(broker.now, 1) >= node.calls + 2
     assert node.load(broker.now, 0) == node.calls
+
+
+def test_further_tries_reach_the_replica_that_the_part_has_not_met() -> None:
+    """Two of three replicas turn parts away at once; the third is sound, but busy: more loaded."""
+    nodes = [entry(number, 0) for number in range(3)]
+    broker = Broker(settings(limits={"attempts": 4, "duplicate": False}), nodes=nodes)
+    for _ in range(15):
+        broker.query([0])
+    for send in list(broker.sends):
+        if send.node != node_id(2):
+            broker.end(send.part)
+    assert sum(send.node == node_id(2) for send in broker.sends) == 5
+    _, parts, _ = broker.query([0])
+    for _ in range(2):
+        assert broker.sends[-1].part == parts[0] and broker.sends[-1].node != node_id(2)
+        broker.end(parts[0], Result.FULL, elapsed=MS)
+    assert broker.sends[-1].part == parts[0] and broker.sends[-1].node == node_id(2)
