--- a/quincepath/net/server.py
+++ b/quincepath/net/server.py
@@ -73,6 +73,7 @@
         self.closing = False
         self.counted = True  # among the connections of its address
         self.asked = False  # some request of it was whole
+        self.valued = False  # the handler's mark: it has brought work worth keeping it for
         self.error: HttpError | None = None
         self.stream = Stream(server.loop, sock, self._data, self._closed)
 
@@ -133,10 +134,14 @@
         if not keep_alive:
             self.stream.finish(LINGER_MOST, lambda: self._closed("answered and closed"))
 
+    @property
+    def busy(self) -> bool:
+        """Whether a request is open, or the last answer is on its way."""
+        return self.current is not None or self.closing or self.stream.pending > 0
+
     def waits(self) -> bool:
         """Whether it may be closed without breaking anything off: no request open, none begun or unread."""
-        idle = self.current is None and not self.arriving and not self.closing and not self.stream.pending
-        return idle and self.stream.quiet()
+        return not self.busy and not self.arriving and self.stream.quiet()
 
     def _closed(self, _why: str) -> None:
         self.server.forget(self)
--- a/quincepath/platform/places.py
+++ b/quincepath/platform/places.py
@@ -5,13 +5,14 @@
 """
 
 import heapq
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Protocol, TypeVar
 
 MS = 1_000_000
 SECOND = 1000 * MS
 RESERVE = 24  # listener, selector, wake-up pair, standard streams, discovery old and new, files read
+KEPT_SHARE = 1 / 6  # of all: connections that brought queries and may idle, half of what clients use for them
 CLIENT_SHARE = 0.6  # of what is left; clients use a third of all for requests
 NODE_MOST = 4  # connections to one node: one that works, one doubted, and two that still wait for answers
 FIRST = 2 * SECOND  # from a connect until its first request is whole
@@ -30,22 +31,29 @@
 
     clients: int
     nodes: int
+    kept: int
 
 
 def split(descriptors: int) -> Places:
     """Divide what the process may hold."""
     free = max(descriptors - RESERVE, 16)
     clients = int(free * CLIENT_SHARE)
-    return Places(clients, free - clients)
+    return Places(clients, free - clients, max(int(descriptors * KEPT_SHARE), 8))
 
 
 class Connection(Protocol):
     """What is looked at to choose."""
 
-    asked: bool
+    asked: bool  # some request was whole
+    valued: bool  # some query of it was taken
     arriving: bool
     since: int
 
+    @property
+    def busy(self) -> bool:
+        """Whether a request is open."""
+        ...
+
     def waits(self) -> bool:
         """Whether it may be closed with nothing broken off."""
         ...
@@ -55,16 +63,21 @@
 
 
 def _worth(connection: Connection, now: int) -> tuple[int, int]:
-    if not connection.asked and not connection.arriving and now > connection.since + SETTLE:
+    if connection.arriving or not connection.asked and now <= connection.since + SETTLE:
+        return 3, connection.since  # a request that has begun, or is on its way
+    if not connection.asked:
         return 0, connection.since  # silent since it came
-    if connection.asked and not connection.arriving:
-        return 1, connection.since  # between requests
-    return 2, connection.since  # a request that has begun
+    return 1 + connection.valued, connection.since  # between requests; who brings queries goes later
+
 
+def victim(now: int, connections: Iterable[C]) -> C | None:
+    """The connection to close for a new one; None where none can be spared: then the new one goes.
 
-def victim(now: int, connections: Iterable[C], open_requests: Sequence[C] = ()) -> C | None:
-    """The connection to close for a new one; None where each has a request open: then the new one goes."""
-    for connection in heapq.nsmallest(8, connections, key=lambda c: _worth(c, now)):
+    Those with an open request are left out before any is looked at: guards against a crowd under which the
+    oldest are all busy, and each new client is turned away though many idle connections are held.
+    """
+    idle = (connection for connection in connections if not connection.busy)
+    for connection in heapq.nsmallest(8, idle, key=lambda c: _worth(c, now)):
         if connection.waits():
             return connection
     return None
--- a/quincepath/platform/service.py
+++ b/quincepath/platform/service.py
@@ -67,6 +67,7 @@
         self.open: dict[int, Exchange] = {}
         self.names: dict[str, int] = {}  # of open queries
         self._name_of: dict[int, str] = {}
+        self._bringers: dict[Peer, None] = {}  # connections that brought queries, the longest unused first
         self._inputs: list[Input] = []
         self._handles = 0
         self._due: Timer | None = None
@@ -128,6 +129,7 @@
             exchange.respond(*refusal(away.cause, self._advice(away.retry_in)))
             return
         self.counts["taken"] += 1
+        self._keep(exchange.peer)
         self.open[handle] = exchange
         self.names[ask.name] = handle
         self._name_of[handle] = ask.name
@@ -164,11 +166,30 @@
             self.counts["left"] += 1
             self._inputs.append(ClientLeft(handle))
 
+    def _keep(self, peer: Peer) -> None:
+        """A connection brings a query: it is worth keeping, and of those the one unused for longest is not.
+
+        Guards against clients that ask once and hold on: they may hold so many connections, and who comes
+        next would find no place on their side.
+        """
+        peer.valued = True
+        self._bringers.pop(peer, None)
+        self._bringers[peer] = None
+        if len(self._bringers) > self.room.kept:
+            oldest = next((p for p in self._bringers if p.stream.closed or not p.busy), None)
+            if oldest is not None:
+                del self._bringers[oldest]
+                if not oldest.stream.closed and oldest.waits():
+                    oldest.cut("cut, unused for longest")
+
     def _make_room(self, server: HttpServer, newest: Peer) -> None:
         if len(server.peers) <= self.room.clients:
             return
         found = places.victim(self.loop.now, (peer for peer in server.peers if peer is not newest))
-        (found or newest).cut("cut for room")
+        if found is None:
+            newest.cut("cut as it came")
+        else:
+            found.cut("cut for room" if found.valued else "cut for room, brought nothing")
 
     def _rest(self, why: str) -> None:
         self.counts["accept rests"] += 1
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -417,3 +417,38 @@
         room = places.split(descriptors)
         assert room.clients + room.nodes + places.RESERVE <= descriptors
         assert room.clients >= descriptors // 3
+
+
+def test_a_crowd_that_asks_for_nothing_does_not_drive_out_clients() -> None:
+    """Many connections are open with slow queries, many others ask for the health once and stay."""
+    world = World(limits={"sockets": 128})
+    world.acts("silent")
+    busy = [Client(world) for _ in range(20)]
+    for client in busy:
+        client.stream.write(world.request("once", (0,), Req_Deadline_Ms="2000"))
+    world.run(0.05)
+    world.acts("good")
+    kept = Client(world)
+    kept.stream.write(world.request("all", (1,)))
+    world.until(lambda: kept.status > 0)
+    for _ in range(120):
+        client = Client(world)
+        client.stream.write(b"GET /-/healthy HTTP/1.1\r\nHost: x\r\n\r\n")
+        world.run(0.003)
+    assert not kept.ended and not any(client.ended for client in busy)
+    assert world.ask("all", (1,)).status == 200
+    assert not world.broker.server.counts["cut as it came"]
+
+
+def test_of_clients_that_ask_once_and_hold_on_the_longest_unused_are_closed() -> None:
+    world = World(limits={"sockets": 96})
+    regular = Client(world)
+    held = []
+    for _ in range(30):
+        held.append(world.ask("all", (0,)))
+        regular.got = b""
+        regular.stream.write(world.request("all", (1,)))
+        assert world.until(lambda: regular.status == 200)
+    assert not regular.ended
+    assert sum(not client.ended for client in held) <= world.broker.room.kept == 16
+    assert not any(client.ended for client in held[-10:])
