Tries at a full node share a connection and are spread out while its sibling is cold

One query followed: "6 ms old, 493 ms left, refused; 11:no:098f/0/FUL3,098f/3/FUL0,098f/4/FUL0,098f/5/FUL0": four tries at one full node within 5 ms, and the query was given up with nearly all of its time left. Of 9,971 turnings away 1,407 had no load report, all of them first on a connection 1 to 7 ms old: the node's limit on connections; 5,629 connections were opened to nodes that had one already, up to four each.

Ruled out: unused cold replicas (a cold one took 25 parts a second at p50 314 ms, all that it could); second time-outs by wrong belief alone (13 bad nodes of 108, each met about once by each broker).

At fault: policy.py _outcome, where the pause between tries asked that every listed replica had failed, so that one too cold to take a part now (its credit used up) switched the pause off; link.py may_carry, which let no id travel twice on a connection, so that each further try at a node dialled.

Changed: a replica that must wait for its credit counts like one that failed there; an id turned away may travel again on its connection after a tenth of the dial time-out.

--- a/quincepath/platform/link.py
+++ b/quincepath/platform/link.py
@@ -3,7 +3,8 @@
 All attempts of a part have the same id on the wire. So that a late reply is never booked to a newer attempt,
 a connection carries an id once: after an attempt was given up its id does not go there again. Ids given
 up are remembered for as long as the connection lives; their number is bounded by retiring the connection,
-which then takes nothing new.
+which then takes nothing new. Only an id that was turned away may travel again, a while after its reply: nothing
+of it is at the node any more, and a new connection for each try would cost the node what it lacks.
 """
 
 from collections.abc import Hashable
@@ -11,10 +12,12 @@
 
 from quincepath.platform.frames import FrameReader, Reply, Spoilt
 
+NEVER = 1 << 62
 GIVEN_UP_MOST = 0.5  # of the places on a connection that parts given up may still hold until it is retired
 ANSWERED_MOST = 512  # ids answered, remembered: a second copy follows its first at once
 QUIET_DIALS = 2  # a connection on which parts wait and nothing came for so many dial time-outs is doubted
 IDLE_SHARE = 0.7  # of the idle time: an older connection may be closed at the other end by now
+ECHO_DIALS = 0.1  # a second copy of an answer comes within so many dial time-outs after it, if one comes
 STALL_DIALS = 0.5  # a reply that began and does not go on for so many dial time-outs is spoilt
 
 
@@ -34,7 +37,7 @@
         self.reader = FrameReader()
         self.live: dict[bytes, Hashable] = {}
         self.given_up: set[bytes] = set()
-        self.answered: dict[bytes, None] = {}
+        self.answered: dict[bytes, int] = {}  # and from when on they may travel again
         self.retired = False
         self.used_at = now  # when bytes last went either way
         self.waiting_since = now  # since when something is out with nothing heard
@@ -53,15 +56,16 @@
         waits = bool(self.live or self.given_up)
         return waits and now > self.waiting_since + QUIET_DIALS * self.times.dial
 
-    def may_carry(self, part: bytes) -> bool:
+    def may_carry(self, now: int, part: bytes) -> bool:
         """Whether a reply to this id could only belong to the attempt that is about to go out."""
-        return part not in self.live and part not in self.given_up and part not in self.answered
+        return part not in self.live and part not in self.given_up and now >= self.answered.get(part, now)
 
     def put(self, now: int, part: bytes, key: Hashable) -> None:
         """A part's frame was handed to this connection."""
         if not self.live:
             self.waiting_since = now
         self.live[part] = key
+        self.answered.pop(part, None)
         self.used_at = now
 
     def give_up(self, part: bytes) -> None:
@@ -92,12 +96,14 @@
             key = self.live.pop(reply.id, None)
             if key is not None:
                 found.append((key, reply))
-                self.answered[reply.id] = None
+                turned_away = reply.end == b"later"
+                echo = int(ECHO_DIALS * self.times.dial)
+                self.answered[reply.id] = now + echo if turned_away else NEVER
                 if len(self.answered) > ANSWERED_MOST:
                     del self.answered[next(iter(self.answered))]
             elif reply.id in self.given_up:
                 self.given_up.discard(reply.id)
-                self.answered[reply.id] = None
+                self.answered[reply.id] = NEVER
             elif reply.id not in self.answered:  # a second copy of an answer is no harm
                 return found, spoilt or Spoilt("a reply to a part that was never sent here")
         return found, spoilt
--- a/quincepath/platform/nodes.py
+++ b/quincepath/platform/nodes.py
@@ -221,9 +221,9 @@
                 and not link.retired
                 and len(link.live) + len(outs) <= self.streams
             ):
-                if all(link.may_carry(out.id) for out in outs):
+                if all(link.may_carry(now, out.id) for out in outs):
                     return connection
-            elif link.room(now) and all(link.may_carry(out.id) for out in outs):
+            elif link.room(now) and all(link.may_carry(now, out.id) for out in outs):
                 return connection
         if len(held) >= self.most:
             self._make_room(held)
--- a/quincepath/policy.py
+++ b/quincepath/policy.py
@@ -771,8 +771,8 @@
                 self._cancel(other)
         else:
             part.dead = part.dead or event.final
-            if all(node.failures for node in self._replicas(part.shard)):
-                # Spread the tries that are left over the time that is left.
+            if all(node.failures or self._cold_wait(node, part) for node in self._replicas(part.shard)):
+                # Spread the tries that are left over the time that is left: no other replica takes one now.
                 pause = RETRY_PAUSE * query.spec.target * 2.0 ** (len(part.attempts) - 1)
                 part.not_before = self.now + int(pause)
             attempt.failed = event.result is not Result.TIMEOUT
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -1,7 +1,7 @@
 """One small case for each kind of failure that was met."""
 
 from quincepath.interface import Answer, Cancel, Entry, Log, Members, Phase, Refuse, Result, Scope, Send
-from tests.helpers import MS, SECOND, Broker, entry, node_id, of, query_class, settings
+from tests.helpers import MS, SECOND, START, Broker, entry, node_id, of, query_class, settings
 
 ANY = query_class(need=0.6, floor=0.6)
 
@@ -160,6 +160,18 @@
     assert len(of(broker.advance(450 * MS), Send)) == 1
 
 
+def test_tries_are_spread_out_while_the_other_replica_is_too_cold_to_take_one() -> None:
+    """Else all tries at a full node are used up within milliseconds: the query is lost to a full queue."""
+    cold = entry(1, 0, since=START - SECOND)
+    last = -int.from_bytes(cold.node) % 200  # this broker's turn comes last: it begins with no credit there
+    broker = Broker(nodes=[entry(0, 0), cold], config=settings(instances=200, me=last))
+    _, parts, got = broker.query([0])
+    assert [send.node for send in of(got, Send)] == [node_id(0)]
+    for _ in range(2):
+        assert not of(broker.end(parts[0], Result.FULL, elapsed=2 * MS), Send)
+        assert len(of(broker.advance(450 * MS), Send)) == 1
+
+
 def test_overload_is_logged_once_at_its_begin_and_end() -> None:
     broker = Broker()
     broker.train(elapsed=200 * MS)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -200,6 +200,16 @@
     assert world.ask("once", (0,)).status == 200
 
 
+def test_tries_at_a_full_node_share_one_connection() -> None:
+    """Each try on a connection of its own: the node is full of handshakes, and of connections, besides."""
+    world = World(Watched)
+    world.discovery.tell(world.entry(2, "DELETED"))  # one replica is left for shard 0
+    world.run(0.05)
+    world.nodes[0].always = "later"
+    world.ask("all", (0,))
+    assert len(world.nodes[0].seen) >= 3 and len(world.nodes[0].streams) == 1
+
+
 @pytest.mark.parametrize("act", ["twice", "and noise", "report"])
 def test_a_good_answer_stays_good_whatever_comes_with_it(act: str) -> None:
     world = World(Watched)
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -103,9 +103,20 @@
 def test_an_id_given_up_does_not_travel_again_where_its_reply_may_still_come() -> None:
     held = link()
     held.give_up(b"a.1")
-    assert not held.may_carry(b"a.1") and held.may_carry(b"a.2")
+    assert not held.may_carry(SECOND, b"a.1") and held.may_carry(SECOND, b"a.2")
     assert held.receive(2 * SECOND, GOOD) == ([], None)
-    assert not held.may_carry(b"a.1"), "nor after it: a second copy may follow"
+    assert not held.may_carry(9 * SECOND, b"a.1"), "nor after it: a second copy may follow"
+
+
+def test_an_id_turned_away_travels_again_but_not_while_a_second_copy_may_come() -> None:
+    held = Link(4, TIMES, SECOND)
+    held.put(SECOND, b"a.2", "first")
+    assert held.receive(SECOND, LATER)[0]
+    assert not held.may_carry(SECOND + 10 * MS, b"a.2")
+    assert held.receive(SECOND + 10 * MS, LATER) == ([], None), "the copy is no harm"
+    assert held.may_carry(SECOND + 25 * MS, b"a.2")
+    held.put(SECOND + 25 * MS, b"a.2", "second")
+    assert [key for key, _ in held.receive(2 * SECOND, LATER)[0]] == ["second"]
 
 
 def test_a_reply_counts_once_and_a_second_copy_does_no_harm() -> None:
