--- a/quincepath/platform/link.py
+++ b/quincepath/platform/link.py
@@ -12,7 +12,7 @@
 
 from quincepath.platform.frames import FrameReader, Reply, Spoilt
 
-NEVER = 1 << 62
+NEVER = 1 << 62  # a time, in ns, that does not come
 GIVEN_UP_MOST = 0.5  # of the places on a connection that parts given up may still hold until it is retired
 ANSWERED_MOST = 512  # ids answered, remembered: a second copy follows its first at once
 QUIET_DIALS = 2  # a connection on which parts wait and nothing came for so many dial time-outs is doubted
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -6,6 +6,7 @@
 import socket
 import subprocess
 import sys
+import threading
 import tomllib
 from pathlib import Path
 from typing import Any
@@ -33,6 +34,7 @@
 sys.addaudithook(hook)
 runpy.run_module("{MODULE}", run_name="__main__", alter_sys=True)
 """
+LONGEST = 60.0  # seconds that a process of a test may live
 FAMILY_UNIX = "REFUSED socket family 1"  # the pair by which signals wake the loop; nobody comes to it
 
 
@@ -52,6 +54,8 @@
             stderr=subprocess.PIPE,
             text=True,
         )
+        self.watchdog = threading.Timer(LONGEST, self.process.kill)  # a wait for a line ends with the process
+        self.watchdog.start()
 
     def write(self, discovery: str) -> None:
         """A whole configuration naming a discovery."""
@@ -64,7 +68,7 @@
         self.file.write_text(json.dumps(told))
 
     def until(self, words: str) -> list[str]:
-        """The log up to a line with these words; ends with the process, and the test's own time-out."""
+        """The log up to a line with these words; ends with the process, at the latest by the watchdog."""
         assert self.process.stderr is not None
         lines = []
         for line in self.process.stderr:
@@ -79,6 +83,7 @@
             return b"".join(iter(lambda: client.recv(4096), b""))
 
     def end(self) -> None:
+        self.watchdog.cancel()
         self.process.kill()
         self.process.wait()
         self.discovery.close()
