The driver's vocabulary moves from broker/asks.py to orders.py, beneath all that speak it

Fronts, upstream, platform and stand-ins imported upwards into broker/ for it, and the name was that of another package (asks/). Nothing else changed.

--- a/benchmarks/throughput.py
+++ b/benchmarks/throughput.py
@@ -28,7 +28,6 @@
 import click
 
 from benchmarks.bad_day import RESULTS, machine
-from quincepath.broker.asks import Ask, AttemptOrder, Ended, Finish, PartAsk, StartCall, Verdict
 from quincepath.broker.service import Broker
 from quincepath.cli.main import run_until_signal
 from quincepath.config.schema import Config
@@ -43,6 +42,7 @@
 from quincepath.net.loop import Loop
 from quincepath.net.server import Exchange, HttpServer, Times
 from quincepath.observe.logs import setup
+from quincepath.orders import Ask, AttemptOrder, Ended, Finish, PartAsk, StartCall, Verdict
 from quincepath.shards.shardmap import ShardMap
 from quincepath.standins.data import BEGIN_MS, END_MS, Store
 from quincepath.upstream.pool import PoolLimits, Upstream
--- a/quincepath/broker/driver.py
+++ b/quincepath/broker/driver.py
@@ -16,24 +16,6 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
-from quincepath.broker.asks import (
-    Arrived,
-    Ask,
-    AttemptOrder,
-    Breach,
-    ClientLeft,
-    Ended,
-    Finish,
-    Input,
-    Listed,
-    Order,
-    PartAsk,
-    ReadList,
-    StartCall,
-    StopAttempt,
-    Told,
-    Verdict,
-)
 from quincepath.interface import (
     Action,
     Answer,
@@ -59,6 +41,24 @@
     TimerFired,
     Watch,
 )
+from quincepath.orders import (
+    Arrived,
+    Ask,
+    AttemptOrder,
+    Breach,
+    ClientLeft,
+    Ended,
+    Finish,
+    Input,
+    Listed,
+    Order,
+    PartAsk,
+    ReadList,
+    StartCall,
+    StopAttempt,
+    Told,
+    Verdict,
+)
 
 FORGOTTEN = 60_000_000_000  # ns past the grace until a holder that is gone is forgotten
 TOLERANCE = 1e-4  # sums of weights may fall so much short: rounding
--- a/quincepath/broker/reception.py
+++ b/quincepath/broker/reception.py
@@ -15,10 +15,10 @@
 
 from quincepath.asks.book import Begin, Decision, Drop, How, Restart, Try
 from quincepath.asks.desk import Desk
-from quincepath.broker.asks import Arrived, Ask, ClientLeft, Finish, Input, Order, Verdict
 from quincepath.broker.driver import Driver
 from quincepath.limits.admission import Cost
 from quincepath.limits.door import TurnAway
+from quincepath.orders import Arrived, Ask, ClientLeft, Finish, Input, Order, Verdict
 
 C = TypeVar("C")
 R = TypeVar("R")
--- a/quincepath/broker/service.py
+++ b/quincepath/broker/service.py
@@ -15,18 +15,6 @@
 
 from quincepath.asks.book import Again, Begin, Conflict, Crowded, How, Join
 from quincepath.asks.desk import Desk
-from quincepath.broker.asks import (
-    Ask,
-    Breach,
-    Ended,
-    Finish,
-    Listed,
-    ReadList,
-    StartCall,
-    StopAttempt,
-    Told,
-    Verdict,
-)
 from quincepath.broker.driver import Driver, Module
 from quincepath.broker.reception import AskEnded, Owed, Reception, Rendered
 from quincepath.config.schema import Config, admission_bounds, book_limits, module_settings
@@ -49,6 +37,18 @@
 from quincepath.observe.logs import logger
 from quincepath.observe.metrics import Metrics
 from quincepath.observe.traces import TRACE_HEADER, Traces
+from quincepath.orders import (
+    Ask,
+    Breach,
+    Ended,
+    Finish,
+    Listed,
+    ReadList,
+    StartCall,
+    StopAttempt,
+    Told,
+    Verdict,
+)
 from quincepath.policy import Aggregator
 from quincepath.shards.shardmap import ShardMap
 from quincepath.upstream.pool import PoolLimits, Upstream
--- a/quincepath/fronts/remote_read/front.py
+++ b/quincepath/fronts/remote_read/front.py
@@ -13,7 +13,6 @@
 from dataclasses import dataclass
 
 from quincepath.asks.book import Mark, Try
-from quincepath.broker.asks import Ask, Finish, Verdict
 from quincepath.config.schema import Config
 from quincepath.config.values import parse_duration
 from quincepath.fronts.remote_read.codec import HEADERS, VERSION_HEADER, CodecError, decode_request, encode
@@ -21,6 +20,7 @@
 from quincepath.fronts.remote_read.remote_pb2 import ReadRequest
 from quincepath.merge.series import MergeError, MergeStats, merge
 from quincepath.net.http1 import Request
+from quincepath.orders import Ask, Finish, Verdict
 from quincepath.shards.shardmap import ShardMap
 
 ANSWER_HEADER = "Quincepath-Answer"
--- a/quincepath/fronts/remote_read/plan.py
+++ b/quincepath/fronts/remote_read/plan.py
@@ -8,10 +8,10 @@
 from dataclasses import dataclass
 from typing import Any
 
-from quincepath.broker.asks import FollowUp, PartAsk
 from quincepath.config.schema import ClassEntry, Config, module_kind
 from quincepath.fronts.remote_read.matchers import MatcherError, accepts, describe
 from quincepath.fronts.remote_read.remote_pb2 import LabelMatcher, Query, ReadRequest, TimeSeries
+from quincepath.orders import FollowUp, PartAsk
 from quincepath.shards.shardmap import ShardMap, Touch
 
 SPECIAL = frozenset(r"\.+*?()|[]{}^$")
--- a/quincepath/lab/emulator/world.py
+++ b/quincepath/lab/emulator/world.py
@@ -16,19 +16,6 @@
 from quincepath.asks.book import Mark as KeyMark
 from quincepath.asks.book import Try as BookTry
 from quincepath.asks.desk import Desk
-from quincepath.broker.asks import (
-    Ask,
-    AttemptOrder,
-    Breach,
-    Ended,
-    Finish,
-    Listed,
-    PartAsk,
-    StartCall,
-    StopAttempt,
-    Told,
-    Verdict,
-)
 from quincepath.broker.driver import Driver, Module
 from quincepath.broker.reception import Owed, Reception, Rendered
 from quincepath.config.schema import admission_bounds, book_limits
@@ -52,6 +39,19 @@
 from quincepath.lab.record import Bounds, ClassRules, End, Got, Halt, Head, Line, Mark, Said, Up
 from quincepath.lab.record import Told as ToldLine
 from quincepath.limits.door import TurnAway
+from quincepath.orders import (
+    Ask,
+    AttemptOrder,
+    Breach,
+    Ended,
+    Finish,
+    Listed,
+    PartAsk,
+    StartCall,
+    StopAttempt,
+    Told,
+    Verdict,
+)
 from quincepath.policy import Aggregator
 from quincepath.upstream.outcomes import End as CallEnd
 from quincepath.upstream.outcomes import of_transport
--- a/quincepath/platform/clients.py
+++ b/quincepath/platform/clients.py
@@ -10,8 +10,8 @@
 
 import msgspec
 
-from quincepath.broker.asks import Ask, Finish, PartAsk, Verdict
 from quincepath.net.http1 import Request
+from quincepath.orders import Ask, Finish, PartAsk, Verdict
 from quincepath.platform.config import Site, plain
 
 ID = re.compile(r"[A-Za-z0-9._~:-]{1,128}")
--- a/quincepath/platform/nodes.py
+++ b/quincepath/platform/nodes.py
@@ -6,11 +6,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from quincepath.broker.asks import AttemptOrder, Ended, StartCall
 from quincepath.interface import NodeId, Result
 from quincepath.net.dial import LATE, Dial, why
 from quincepath.net.loop import Loop, Timer
 from quincepath.net.stream import Stream
+from quincepath.orders import AttemptOrder, Ended, StartCall
 from quincepath.platform.frames import CallPart, Reply, Spoilt, call_frame, give_up_frame, read_report
 from quincepath.platform.link import Link, LinkTimes
 from quincepath.upstream.outcomes import End, Meaning, of_transport
--- a/quincepath/platform/service.py
+++ b/quincepath/platform/service.py
@@ -10,7 +10,13 @@
 
 import msgspec
 
-from quincepath.broker.asks import (
+from quincepath.broker.driver import Driver, Module
+from quincepath.interface import Members, NodeId, Phase, Scope, Settings
+from quincepath.limits.door import Bounds, Door
+from quincepath.net.http1 import Limits
+from quincepath.net.loop import Loop, Timer
+from quincepath.net.server import Exchange, HttpServer, Peer, Times
+from quincepath.orders import (
     Arrived,
     Breach,
     ClientLeft,
@@ -24,12 +30,6 @@
     Told,
     Verdict,
 )
-from quincepath.broker.driver import Driver, Module
-from quincepath.interface import Members, NodeId, Phase, Scope, Settings
-from quincepath.limits.door import Bounds, Door
-from quincepath.net.http1 import Limits
-from quincepath.net.loop import Loop, Timer
-from quincepath.net.server import Exchange, HttpServer, Peer, Times
 from quincepath.platform import places
 from quincepath.platform.clients import BadQuery, read_query, refusal, write_finish
 from quincepath.platform.config import Address, Configuration
--- a/quincepath/upstream/pool.py
+++ b/quincepath/upstream/pool.py
@@ -11,11 +11,11 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
-from quincepath.broker.asks import AttemptOrder, Ended, StartCall
 from quincepath.interface import NodeId, Result
 from quincepath.net.http1 import HttpError, Limits, Response, ResponseReader, request_bytes
 from quincepath.net.loop import WRITE, Loop, Timer
 from quincepath.net.stream import Stream
+from quincepath.orders import AttemptOrder, Ended, StartCall
 from quincepath.upstream.outcomes import End, Meaning, of_status, of_transport
 from quincepath.upstream.remote_read import BadAnswer
 
--- a/quincepath/upstream/remote_read.py
+++ b/quincepath/upstream/remote_read.py
@@ -2,11 +2,11 @@
 
 from collections.abc import Sequence
 
-from quincepath.broker.asks import AttemptOrder
 from quincepath.fronts.remote_read.codec import HEADERS, VERSION_HEADER, CodecError, decode_response, encode
 from quincepath.fronts.remote_read.plan import PartBody, PartFetch
 from quincepath.fronts.remote_read.remote_pb2 import ReadRequest
 from quincepath.net.http1 import Response
+from quincepath.orders import AttemptOrder
 
 PARTS_HEADER = "X-Quincepath-Parts"  # name/shard/step/attempt of each part, for the holder's log
 BROKER_HEADER = "X-Quincepath-Broker"  # the number of the broker that calls
--- a/tests/test_asks.py
+++ b/tests/test_asks.py
@@ -26,7 +26,12 @@
     Try,
 )
 from quincepath.asks.desk import Desk
-from quincepath.broker.asks import (
+from quincepath.broker.driver import Driver
+from quincepath.broker.reception import AskEnded, Owed, Reception, Rendered
+from quincepath.interface import Members, Result, Scope
+from quincepath.lab.load import Client, QueryPlan, Seen
+from quincepath.limits.admission import AdmissionBounds
+from quincepath.orders import (
     Ask,
     AttemptOrder,
     Breach,
@@ -38,11 +43,6 @@
     StopAttempt,
     Verdict,
 )
-from quincepath.broker.driver import Driver
-from quincepath.broker.reception import AskEnded, Owed, Reception, Rendered
-from quincepath.interface import Members, Result, Scope
-from quincepath.lab.load import Client, QueryPlan, Seen
-from quincepath.limits.admission import AdmissionBounds
 from quincepath.policy import Aggregator
 from tests.helpers import MS, SECOND, START, entry, node_id, query_class, settings
 from tests.world import World
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -6,22 +6,6 @@
 
 import pytest
 
-from quincepath.broker.asks import (
-    Arrived,
-    Ask,
-    Breach,
-    ClientLeft,
-    Ended,
-    Finish,
-    Listed,
-    Order,
-    PartAsk,
-    ReadList,
-    StartCall,
-    StopAttempt,
-    Told,
-    Verdict,
-)
 from quincepath.broker.driver import Driver
 from quincepath.interface import (
     Action,
@@ -45,6 +29,22 @@
     TimerFired,
     Watch,
 )
+from quincepath.orders import (
+    Arrived,
+    Ask,
+    Breach,
+    ClientLeft,
+    Ended,
+    Finish,
+    Listed,
+    Order,
+    PartAsk,
+    ReadList,
+    StartCall,
+    StopAttempt,
+    Told,
+    Verdict,
+)
 from quincepath.policy import Aggregator
 from tests.helpers import MS, SECOND, START, entry, node_id, query_class, settings
 
--- a/tests/test_hard_cases.py
+++ b/tests/test_hard_cases.py
@@ -10,7 +10,6 @@
 import cramjam
 import pytest
 
-from quincepath.broker.asks import AttemptOrder, Ended, StartCall
 from quincepath.fronts.remote_read.codec import HEADERS, decode_request, decode_response, encode
 from quincepath.fronts.remote_read.plan import PartFetch
 from quincepath.fronts.remote_read.remote_pb2 import LabelMatcher, ReadRequest, ReadResponse, TimeSeries
@@ -18,6 +17,7 @@
 from quincepath.lab.load import Seen
 from quincepath.net.http1 import Limits, ResponseReader, request_bytes
 from quincepath.net.stream import Stream
+from quincepath.orders import AttemptOrder, Ended, StartCall
 from quincepath.standins.data import BEGIN_MS, END_MS
 from quincepath.standins.leaf import Leaf, Service
 from tests.world import MS, SECOND, World, answer, as_dict, ask, mark
