One class for child processes of the lab; staging and sockets no longer import each other

They are now lab/process.Child with what differs on top. What troubles act on is a protocol of staging's (Stage), so that the import goes one way only.

--- a/quincepath/lab/day.py
+++ b/quincepath/lab/day.py
@@ -4,9 +4,6 @@
 whether it drains, like the lists of the users' own fleets.
 """
 
-import json
-import subprocess
-import sys
 import tempfile
 import time
 from collections import Counter
@@ -24,9 +21,10 @@
 from quincepath.config.schema import SECOND, Config, Model
 from quincepath.config.values import Duration, Share
 from quincepath.lab.audit import Report, audit
-from quincepath.lab.cluster import Cluster, HolderProcess, StartError
+from quincepath.lab.cluster import Cluster, HolderProcess
 from quincepath.lab.demo import DISTRICTS, demo_config, make_cluster
 from quincepath.lab.load import Client, QuerySource, Seen
+from quincepath.lab.process import PROGRAM, Child
 from quincepath.lab.record import Bounds, ClassRules, Mark, Writer
 from quincepath.net.loop import Loop
 from quincepath.shards.shardmap import ShardMap
@@ -94,7 +92,7 @@
         return f"{self.asked} queries: {said}\nwhole within the target: {self.good:.3f}\naudit: {verdict}"
 
 
-BROKER = [sys.executable, "-m", "quincepath", "--log-level", "warning", "serve", "-c"]
+BROKER = [*PROGRAM, "--log-level", "warning", "serve", "-c"]
 
 
 class _Day:
@@ -110,8 +108,7 @@
         self.cluster.record = self.writer
         self.by_name = {holder.name: holder for holder in self.cluster.holders}
         self.fresh: set[str] = set()  # holders whose start the roster knows
-        self.broker_words = broker
-        self.broker: subprocess.Popen[str] | None = None
+        self.broker = Child("the broker", folder / "broker.log", broker)
         self.outcomes: Counter[str] = Counter()
         self.good = 0
         self.starting: dict[str, HolderProcess] = {}
@@ -139,15 +136,7 @@
             self.loop.run_until(lambda: self.all_asked and not client.open, end)
             client.close()
         finally:
-            if self.broker is not None:
-                self.broker.terminate()
-                try:
-                    self.broker.wait(10)
-                except subprocess.TimeoutExpired:
-                    self.broker.kill()
-                    self.broker.wait()
-                if self.broker.stdout:
-                    self.broker.stdout.close()
+            self.broker.stop()
             self.cluster.stop()
             self.writer.close()
             self.loop.close()
@@ -170,16 +159,8 @@
         )  # fmt: skip
 
     def start_broker(self) -> str:
-        words = [*self.broker_words, str(self.folder / "broker.yaml")]
-        log = (self.folder / "broker.log").open("w")
-        self.broker = subprocess.Popen(words, stdout=subprocess.PIPE, stderr=log, text=True)
-        log.close()
-        assert self.broker.stdout is not None
-        line = self.broker.stdout.readline()
-        try:
-            return str(json.loads(line)["remote_read"])
-        except (ValueError, KeyError):
-            raise StartError(f"the broker said {line!r}; see {self.folder / 'broker.log'}") from None
+        self.broker.start([str(self.folder / "broker.yaml")])
+        return str(self.broker.first_line("remote_read"))
 
     def schedule(self, config: Config, client: Client) -> None:
         script = self.script
@@ -271,7 +252,7 @@
 
     def back(self, holder: HolderProcess) -> None:
         """Start it again, on its port, cold; it takes a moment to come up and is looked at until it has."""
-        holder.start(self.script.leaf.cold)
+        holder.launch(self.script.leaf.cold)
         self.starting[holder.name] = holder
         self.look(holder)
 
--- a/quincepath/lab/emulator/processes.py
+++ b/quincepath/lab/emulator/processes.py
@@ -1,10 +1,5 @@
 """Broker processes of a rehearsal over loopback, and the list of holders that each of them reads."""
 
-import json
-import selectors
-import signal
-import subprocess
-import sys
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -13,86 +8,44 @@
 
 from ruamel.yaml import YAML
 
-from quincepath.lab.cluster import StartError
+from quincepath.lab.process import Child
 from quincepath.lab.record import Told, Writer
 from quincepath.net.loop import Loop
 
-BROKER = [sys.executable, "-m", "quincepath", "--log-level", "error", "serve", "-c"]
-STOP_WAIT = 10.0  # seconds
 
-
-@dataclass(slots=True)
-class BrokerProcess:
+class BrokerProcess(Child):
     """One broker: its configuration file, its process while it runs, and where it serves."""
 
-    number: int
-    zone: str
-    folder: Path
-    process: "subprocess.Popen[str] | None" = None
-    url: str = ""
-    alive: bool = False
-    halted: tuple[int, int] | None = None  # when it was killed and for how long; until it is back
+    def __init__(self, number: int, zone: str, folder: Path) -> None:
+        super().__init__(f"broker {number}", folder / f"broker{number}.log")
+        self.number, self.zone, self.folder = number, zone, folder
+        self.url = ""
+        self.alive = False
+        self.halted: tuple[int, int] | None = None  # when it was killed and for how long; until it is back
 
     @property
     def config(self) -> Path:
         """Its configuration file."""
         return self.folder / f"broker{self.number}.yaml"
 
-    def start(self) -> None:
+    def launch(self) -> None:
         """Start the process; ``wait`` or ``ready`` tell when it serves."""
-        with (self.folder / f"broker{self.number}.log").open("a") as log:
-            self.process = subprocess.Popen(
-                [*BROKER, str(self.config)], stdout=subprocess.PIPE, stderr=log, text=True
-            )
-
-    def ready(self) -> bool:
-        """Whether it has said where it serves, without waiting."""
-        assert self.process is not None and self.process.stdout is not None
-        with selectors.DefaultSelector() as selector:
-            selector.register(self.process.stdout, selectors.EVENT_READ)
-            return bool(selector.select(0))
+        self.start(["--log-level", "error", "serve", "-c", str(self.config)])
 
     def wait(self) -> None:
         """Until it serves. Raises ``StartError``."""
-        assert self.process is not None and self.process.stdout is not None
-        line = self.process.stdout.readline()
-        try:
-            self.url = json.loads(line)["remote_read"]
-        except (ValueError, KeyError):
-            raise StartError(f"broker {self.number} said {line!r}, see its log in {self.folder}") from None
+        self.url = self.first_line("remote_read")
         self.alive = True
 
-    def signal(self, number: int) -> None:
-        """Send a signal, if it runs."""
-        if self.process is not None:
-            self.process.send_signal(number)
-
     def kill(self) -> None:
         """At once, as if its machine had gone."""
         self.alive = False
-        if self.process is not None:
-            self.process.kill()
-            self._reap()
+        super().kill()
 
     def stop(self) -> None:
         """Ask it to end; kill it if it does not."""
         self.alive = False
-        if self.process is None:
-            return
-        self.process.send_signal(signal.SIGCONT)
-        self.process.terminate()
-        try:
-            self.process.wait(STOP_WAIT)
-        except subprocess.TimeoutExpired:
-            self.process.kill()
-        self._reap()
-
-    def _reap(self) -> None:
-        process, self.process = self.process, None
-        if process is not None:
-            process.wait()
-            if process.stdout is not None:
-                process.stdout.close()
+        super().stop()
 
 
 @dataclass(slots=True)
--- a/quincepath/lab/emulator/sockets.py
+++ b/quincepath/lab/emulator/sockets.py
@@ -221,7 +221,7 @@
         for broker in self.brokers:
             with broker.config.open("w") as file:
                 YAML(typ="safe").dump(self._config(broker.number), file)
-            broker.start()
+            broker.launch()
         for broker in self.brokers:
             broker.wait()
             self.clients.append(Client(self.loop, broker.url, self.writer, broker.number))
--- a/quincepath/lab/emulator/staging.py
+++ b/quincepath/lab/emulator/staging.py
@@ -8,21 +8,21 @@
 from collections import defaultdict
 from collections.abc import Callable
 from http.client import HTTPConnection
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 import msgspec
 
 from quincepath.lab.cluster import HolderProcess
 from quincepath.lab.emulator.chance import Source
-from quincepath.lab.emulator.script import TroubleEntry
+from quincepath.lab.emulator.processes import BrokerProcess, Lists
+from quincepath.lab.emulator.script import Script, TroubleEntry
 from quincepath.lab.emulator.troubles import AGEING_STEPS, DEPLOY_PAUSE
 from quincepath.lab.emulator.world import RESTART_AFTER
-from quincepath.lab.record import Halt, Mark
+from quincepath.lab.load import Client
+from quincepath.lab.record import Halt, Mark, Writer
+from quincepath.net.loop import Loop
 from quincepath.standins.leaf import Faults
 
-if TYPE_CHECKING:
-    from quincepath.lab.emulator.sockets import SocketRun
-
 MS = 1_000_000
 LOOK = 50 * MS  # between looks for holders that ended by themselves, and for processes that come up
 
@@ -41,10 +41,30 @@
     return whole
 
 
+class Stage(Protocol):
+    """What troubles act on: the run's processes, lists and clients, and how clients ask (``SocketRun``)."""
+
+    script: Script
+    seed: int
+    begin: int  # ns on the loop's clock
+    loop: Loop
+    writer: Writer
+    by_name: dict[str, HolderProcess]
+    brokers: list[BrokerProcess]
+    clients: list[Client]
+    lists: Lists
+    fresh: set[str]  # holders that were started again
+    factor: float  # times the usual rate of queries
+    hurry: float  # clients have so many times less patience
+    storm: bool  # whether clients come back at once
+    heavy: dict[int, tuple[float, float]]  # class: share of queries, times the work
+    poison: dict[int, float]  # class: share of queries
+
+
 class Staging:
     """Puts a script's troubles into a run on sockets, at their times on its loop."""
 
-    def __init__(self, run: "SocketRun") -> None:
+    def __init__(self, run: Stage) -> None:
         self.run, self.loop, self.script = run, run.loop, run.script
         self.active: dict[str, dict[int, Faults]] = defaultdict(dict)
         self.down: set[str] = set()
@@ -227,7 +247,7 @@
         self.down.add(holder.name)
         self.active[holder.name].clear()
         if silent:
-            holder.process.send_signal(signal.SIGSTOP)
+            holder.signal(signal.SIGSTOP)
         else:
             holder.kill()
         self.run.lists.publish(holder.name)
@@ -236,7 +256,7 @@
     def _back(self, holder: HolderProcess) -> None:
         if holder.process is not None:
             holder.kill()
-        holder.start(self.script.fleet.cold)
+        holder.launch(self.script.fleet.cold)
         self._look(holder)
 
     def _look(self, holder: HolderProcess) -> None:
@@ -283,7 +303,7 @@
             self.loop.call_in(last, lambda: self._boot(number))
 
     def _boot(self, number: int) -> None:
-        self.run.brokers[number].start()
+        self.run.brokers[number].launch()
         self._look_for(number)
 
     def _look_for(self, number: int) -> None:
