A view of the fleet as a pure machine, with every hard case as a script in virtual time

Need: a broker knew of no other but by a number in a file. quincepath/fleet/view keeps who is believed to live: SWIM with indirect probes, suspicions that shorten with independent accusers, local health measured by the machine itself (how late it is called), suspects told first, exchanges where digests differ, trial contacts with the dead and unheard-of, leaving and draining told, a second process of one name told of and yielding, replays no sign of life. Messages are versioned and bounded.

Failed before: halves that had reclaimed each other never found together (what is no longer told to others was not told to the one concerned); a clone accused sound members by its exchanges. No socket yet: the edge and the processes come next.

--- /dev/null
+++ b/quincepath/fleet/messages.py
@@ -0,0 +1,166 @@
+"""Messages between brokers: msgpack arrays, versioned, every size bounded.
+
+Each travels in an envelope that names the schema, the fleet, who speaks and to whom, and carries what the
+speaker says of itself. Fields are appended only, never removed or changed: an older program ignores what it
+does not know at the end of an array, a newer one fills in what is missing. ``least`` is the oldest schema
+that may read an envelope; a change that older programs would misread raises it. Bodies are read apart from
+their envelope: one of an unknown kind is dropped, and its speaker is heard all the same.
+
+They carry no secrets and no wall clock: times are ages in milliseconds.
+"""
+
+from collections.abc import Sequence
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+SCHEMA = 1
+OLDEST = 1  # what this program still reads
+PACKET = 1200  # bytes of a datagram: fits one packet on every sound path
+FRAME = 256 * 1024  # bytes of one message of an exchange
+MEMBERS_MOST = 1000  # of one fleet
+ACCUSERS_MOST = 4  # named with one suspicion
+COUNTER_MOST = 1 << 40  # an incarnation beyond is no count of anything that happened
+
+Name = Annotated[str, Meta(min_length=1, max_length=64)]
+Word = Annotated[str, Meta(max_length=40)]
+Counter = Annotated[int, Meta(ge=0, le=COUNTER_MOST)]
+Word64 = Annotated[int, Meta(ge=0, le=(1 << 63) - 1)]
+
+
+class About(msgspec.Struct, array_like=True, frozen=True):
+    """What is said of one member. ``age``: ms since it was suspected, dead or gone; 0 for the others."""
+
+    name: Name
+    boot: Word64
+    incarnation: Counter
+    phase: Annotated[int, Meta(ge=0, le=4)]
+    age: Counter = 0
+    accusers: Annotated[tuple[Name, ...], Meta(max_length=ACCUSERS_MOST)] = ()
+    draining: bool = False
+    zone: Word = ""
+    version: Word = ""
+    config: Word = ""
+
+
+class Ping(msgspec.Struct, array_like=True, frozen=True, tag=1):
+    """Answer with an ``Ack`` of the same number."""
+
+    number: Counter
+
+
+class Ask(msgspec.Struct, array_like=True, frozen=True, tag=2):
+    """Ping ``target`` for me: ``Ack`` if it answers, ``Nack`` if it does not in time."""
+
+    number: Counter
+    target: Name
+
+
+class Ack(msgspec.Struct, array_like=True, frozen=True, tag=3):
+    """The ping of this number was answered."""
+
+    number: Counter
+
+
+class Nack(msgspec.Struct, array_like=True, frozen=True, tag=4):
+    """I live, and your target did not answer me."""
+
+    number: Counter
+
+
+class Tell(msgspec.Struct, array_like=True, frozen=True, tag=5):
+    """News only."""
+
+
+class Same(msgspec.Struct, array_like=True, frozen=True, tag=6):
+    """Of an exchange: my view has your digest."""
+
+
+class Compare(msgspec.Struct, array_like=True, frozen=True, tag=7):
+    """Of an exchange: its first message; the digest stands in the envelope."""
+
+
+class Full(msgspec.Struct, array_like=True, frozen=True, tag=8):
+    """Of an exchange: all that I believe. ``answer``: send yours back."""
+
+    beliefs: Annotated[tuple[About, ...], Meta(max_length=MEMBERS_MOST)]
+    answer: bool = True
+
+
+Body = Ping | Ask | Ack | Nack | Tell | Same | Compare | Full
+
+
+class Envelope(msgspec.Struct, array_like=True, frozen=True):
+    """Around every message. ``digest`` is of the speaker's view of who lives.
+
+    ``count`` grows with each message of a boot: one that is not the newest proves nothing of now.
+    """
+
+    schema: Annotated[int, Meta(ge=0, le=1 << 16)]
+    least: Annotated[int, Meta(ge=0, le=1 << 16)]
+    fleet: Name
+    sender: Name
+    to: Name
+    me: About
+    digest: Word64
+    count: Counter
+    body: msgspec.Raw
+    news: Annotated[tuple[About, ...], Meta(max_length=64)] = ()
+
+
+class Rejected(ValueError):
+    """A message that is dropped; ``cause`` is one of a fixed few, for counting."""
+
+    def __init__(self, cause: str) -> None:
+        super().__init__(cause)
+        self.cause = cause
+
+
+CAUSES = (
+    "unreadable", "too large", "too old", "too new", "wrong fleet", "wrong name", "unknown member",
+    "unknown kind",
+)  # fmt: skip
+_encoder = msgspec.msgpack.Encoder()
+_envelopes = msgspec.msgpack.Decoder(Envelope)
+_bodies: msgspec.msgpack.Decoder[Body] = msgspec.msgpack.Decoder(Body)
+
+
+def size(about: About) -> int:
+    """Bytes that it takes in a message."""
+    return len(_encoder.encode(about))
+
+
+def pack(
+    fleet: str, to: str, me: About, digest: int, count: int, body: Body, news: Sequence[About] = ()
+) -> bytes:
+    """One message, ready to go."""
+    raw = msgspec.Raw(_encoder.encode(body))
+    return _encoder.encode(Envelope(SCHEMA, SCHEMA, fleet, me.name, to, me, digest, count, raw, tuple(news)))
+
+
+def unpack(data: bytes, fleet: str, to: str, most: int) -> Envelope:
+    """The envelope of a message to this member. Raises ``Rejected``."""
+    if len(data) > most:
+        raise Rejected("too large")
+    try:
+        found = _envelopes.decode(data)
+    except msgspec.MsgspecError:
+        raise Rejected("unreadable") from None
+    if found.schema < OLDEST:
+        raise Rejected("too old")
+    if found.least > SCHEMA:
+        raise Rejected("too new")
+    if found.fleet != fleet:
+        raise Rejected("wrong fleet")
+    if found.to != to or found.me.name != found.sender:
+        raise Rejected("wrong name")
+    return found
+
+
+def body_of(envelope: Envelope) -> Body:
+    """What an envelope holds. Raises ``Rejected`` where this program does not know the kind."""
+    try:
+        return _bodies.decode(envelope.body)
+    except msgspec.MsgspecError:
+        raise Rejected("unknown kind") from None
--- /dev/null
+++ b/quincepath/lab/fleet/virtual.py
@@ -0,0 +1,458 @@
+"""A fleet in virtual time: the views as they are, messages as bytes, faults by a script."""
+
+import heapq
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from quincepath.fleet.view.core import (
+    Call,
+    Called,
+    Drain,
+    Frame,
+    Framed,
+    HangUp,
+    Heard,
+    Input,
+    Leave,
+    Lost,
+    Packet,
+    View,
+)  # fmt: skip
+from quincepath.fleet.view.facts import Change, Phase, ViewSettings
+from quincepath.lab.fleet.links import Ways
+from quincepath.lab.fleet.script import FaultEntry, FleetScript, Some
+from quincepath.lab.fleet.verdict import SECOND, Verdict, Watcher
+
+BACKLOG = 256  # datagrams that wait for a member that stands still; more are lost
+DIAL_TIME = SECOND  # until a line over a cut way counts as lost
+CHECK = SECOND // 10  # between looks whether all views are equal and true
+STARVED_TURN = SECOND  # a starved member runs for its share of each
+FOREVER = 1 << 61
+
+
+@dataclass(slots=True, eq=False)
+class Member:
+    """One process. ``still``: it stands; what comes waits in ``inbox``."""
+
+    place: str  # its name, with a mark for a second process of that name
+    name: str
+    view: View
+    started: int
+    inbox: list[Input] = field(default_factory=list)
+    still: int = 0
+    woken_at: int = FOREVER  # the next wake-up that is planned
+    gone: bool = False
+    lines: dict[int, "Wire"] = field(default_factory=dict)
+
+
+@dataclass(slots=True, eq=False)
+class Wire:
+    """One line between two members; each end has its own number for it."""
+
+    ends: dict[str, int]  # by place
+    free_at: int = 0  # what was framed arrives in order
+    open: bool = True
+
+
+class Virtual:
+    """One day. Events are (time, order, call); the same script and seed give the same day.
+
+    ``warm``: all members know each other at the beginning, nobody joins.
+    """
+
+    def __init__(self, script: FleetScript, seed: int | None = None, warm: bool = False) -> None:
+        self.script, self.warm = script, warm
+        self.seed = script.seed if seed is None else seed
+        self.random = random.Random(f"{self.seed} faults")
+        replays = any(entry.kind == "replay" for entry in script.faults)
+        self.ways = Ways(script.links, self.seed, replays)
+        self.now = 0
+        self.members: dict[str, Member] = {}
+        self.watcher = Watcher()
+        self.verdict = Verdict(quiet_from=script.quiet_from)
+        self.changes: list[tuple[str, Change]] = []
+        self.keep_changes = False
+        self._events: list[tuple[int, int, Callable[[], None]]] = []
+        self._count = self._boots = 0
+        self._numbers = 0
+        self._agree_since = -1
+
+    # --- running ---
+
+    def at(self, when: int, call: Callable[[], None]) -> None:
+        """Plan something."""
+        self._count += 1
+        heapq.heappush(self._events, (max(when, self.now), self._count, call))
+
+    def run(self, until: int | None = None) -> Verdict:
+        """The whole day, or to a time."""
+        end = self.script.length if until is None else until
+        if not self.members:
+            if self.warm:
+                self._begin_warm()
+            for name in self.script.names:
+                if name not in self.script.absent and not self.warm:
+                    self.at(self.random.randrange(SECOND // 5), lambda n=name: self.start(n))  # type: ignore[misc]
+            for entry in self.script.faults:
+                self.at(entry.at, lambda e=entry: self.begin(e))  # type: ignore[misc]
+            self.at(CHECK, self._check)
+        while self._events and self._events[0][0] <= end:
+            self.now, _, call = heapq.heappop(self._events)
+            call()
+        self.now = end
+        return self._finish(end)
+
+    def _finish(self, end: int) -> Verdict:
+        verdict = self.verdict
+        for member in self.members.values():
+            verdict.member_seconds += (end - member.started) / SECOND
+            member.started = end
+        verdict.settled = self._agree_since
+        verdict.deaths = self.watcher.deaths
+        verdict.false_deaths = len(self.watcher.false)
+        verdict.findings = []
+        expect = self.script.expect
+        if verdict.settled < 0:
+            verdict.findings.append(f"views are not equal and true at the end: {self.difference()}")
+        elif verdict.settle_time > expect.settle:
+            verdict.findings.append(f"settled only {verdict.settle_time / SECOND:.1f} s after the last fault")
+        if expect.deaths == "none":
+            for at, who, of in self.watcher.false[:3]:
+                verdict.findings.append(
+                    f"{who} believed {of} dead at {at / SECOND:.2f} s, which ran undisturbed"
+                )
+        return verdict
+
+    def start(self, name: str, place: str = "") -> None:
+        """A new process, without memory of earlier ones."""
+        self._step(self._begin(name, place), [])
+
+    def _begin(self, name: str, place: str = "") -> Member:
+        self._boots += 1
+        script, place = self.script, place or name
+        source = random.Random(f"{self.seed} {place} {self._boots}")
+        peers = tuple(one for one in script.names if one != name)
+        number = script.names.index(name)
+        settings = ViewSettings(
+            "lab", name, peers, tuple(one for one in script.join if one != name),
+            zone=script.zones[number % len(script.zones)], **script.view.changes(),
+        )  # fmt: skip
+        boot, seed = source.getrandbits(62), source.getrandbits(62)
+        member = Member(place, name, View(settings, boot, seed, self.now), self.now)
+        self.members[place] = member
+        if place == name:
+            self.watcher.started(name, self.now)
+        if not self.warm or self.now:
+            self.watcher.excuse(name, self.now)
+        return member
+
+    def _begin_warm(self) -> None:
+        """As if all had joined long ago."""
+        for name in self.script.names:
+            self._begin(name)
+        for member in self.members.values():
+            member.view.own.enter(0)
+        for member in self.members.values():
+            table = member.view.table
+            for other in self.members.values():
+                table.place(other.view.own.belief(0), "known")
+            for kept in (table.adopted, table.changes, table.history):
+                kept.clear()
+            table.changed_at = -SECOND * SECOND
+            member.view.exchanges.plan(self.random.randrange(member.view.settings.exchange), False)
+            self._step(member, [])
+
+    def _wake(self, member: Member) -> None:
+        due = max(member.view.due, self.now)
+        if due < member.woken_at and not member.gone:
+            member.woken_at = due
+            self.at(due, lambda: self._woken(member, due))
+
+    def _woken(self, member: Member, due: int) -> None:
+        if member.woken_at != due or member.gone:
+            return
+        member.woken_at = FOREVER
+        if not member.still:
+            self._step(member, [])
+
+    def _step(self, member: Member, inputs: list[Input]) -> None:
+        for out in member.view.step(self.now, inputs):
+            match out:
+                case Packet(to, data):
+                    self._send(member, to, data)
+                case Call(line, to):
+                    self._call(member, line, to)
+                case Frame(line, data):
+                    self._frame(member, line, data)
+                case HangUp(line):
+                    self._hang_up(member, line)
+                case Change(name=of, now=phase):
+                    if member.place == member.name:
+                        self.watcher.believed(member.name, of, phase.split(",")[0], self.now)
+                    if self.keep_changes:
+                        self.changes.append((member.place, out))
+        self._wake(member)
+
+    def deliver(self, place: str, item: Input) -> None:
+        """Something arrives at a process; it waits while that stands still."""
+        member = self.members.get(place)
+        if member is None:
+            return
+        if not member.still:
+            self._step(member, [item])
+        elif len(member.inbox) < BACKLOG:
+            member.inbox.append(item)
+
+    # --- the network ---
+
+    def _send(self, member: Member, to: str, data: bytes) -> None:
+        self.verdict.messages += 1
+        self.verdict.bytes += len(data) + 28  # with the headers of UDP and IPv4
+        for wait in self.ways.fates(member.name, to, data):
+            self.at(self.now + wait, lambda: self.deliver(to, Heard(data)))
+
+    def _call(self, member: Member, line: int, to: str) -> None:
+        there = self.members.get(to)
+        way = self.ways.way(member.name, to)
+        if self.ways.is_cut(member.name, to) or self.ways.is_cut(to, member.name) or there is member:
+            self.at(self.now + DIAL_TIME, lambda: self._lost(member, line, "not established in time"))
+            return
+        if there is None:
+            self.at(self.now + self.ways.wait(way), lambda: self._lost(member, line, "refused"))
+            return
+        self._numbers -= 1
+        number = self._numbers
+        wire = Wire({member.place: line, there.place: number}, self.now + 2 * self.ways.wait(way))
+        member.lines[line] = there.lines[number] = wire
+        self.at(wire.free_at, lambda: self.deliver(to, Called(number)))
+
+    def _lost(self, member: Member, line: int, why: str) -> None:
+        if not member.gone:
+            self.deliver(member.place, Lost(line, why))
+
+    def _other(self, wire: Wire, member: Member) -> tuple[Member | None, int]:
+        for place, number in wire.ends.items():
+            if place != member.place:
+                return self.members.get(place), number
+        return None, 0
+
+    def _frame(self, member: Member, line: int, data: bytes) -> None:
+        wire = member.lines.get(line)
+        self.verdict.bytes += len(data) + 40
+        if wire is None or not wire.open:
+            return
+        there, number = self._other(wire, member)
+        if there is None or self.ways.is_cut(member.name, there.name):
+            return  # no word comes; the other's time runs out
+        wire.free_at = max(wire.free_at, self.now + self.ways.wait(self.ways.way(member.name, there.name)))
+        place = there.place
+        self.at(wire.free_at, lambda: self.deliver(place, Framed(number, data)))
+
+    def _hang_up(self, member: Member, line: int) -> None:
+        wire = member.lines.pop(line, None)
+        if wire is None or not wire.open:
+            return
+        wire.open = False
+        there, number = self._other(wire, member)
+        if there is not None:
+            there.lines.pop(number, None)
+            place = there.place
+            self.at(
+                max(wire.free_at, self.now) + 1, lambda: self.deliver(place, Lost(number, "end of stream"))
+            )
+
+    # --- faults ---
+
+    def some(self, chosen: Some, of: list[str] | None = None) -> list[str]:
+        """The named ones, or a share of all, at least one."""
+        if isinstance(chosen, list):
+            return list(chosen)
+        names = self.script.names if of is None else of
+        return sorted(self.random.sample(names, max(round(chosen * len(names)), 1)))
+
+    def begin(self, entry: FaultEntry) -> None:
+        """A fault begins; what ends it is planned here, too."""
+        until = self.now + entry.last
+        running = [place for place, member in self.members.items() if place == member.name]
+        match entry.kind:
+            case "kill" | "leave" | "skew":
+                for name in self.some(entry.members, running):
+                    self.watcher.excuse(name, until)
+                    self.end(name, entry.kind == "leave")
+                    if entry.back or entry.kind == "skew":
+                        self.at(until, lambda n=name: self.start(n))  # type: ignore[misc]
+            case "flap":
+                for name in self.some(entry.members, running):
+                    self.watcher.excuse(name, until)
+                    self._flap(name, until, entry.by)
+            case "pause":
+                for name in self.some(entry.members, running):
+                    self.watcher.excuse(name, until)
+                    self.hold(name)
+                    self.at(until, lambda n=name: self.go_on(n))  # type: ignore[misc]
+            case "starve":
+                for name in self.some(entry.members, running):
+                    self.watcher.excuse(name, until)
+                    self._starve(name, until, entry.share)
+            case "cut":
+                for name in self.some(entry.members):
+                    for other in self.some(entry.towards):
+                        if other != name:
+                            self._cut(name, other, entry.last, entry.both)
+                    self.watcher.excuse(name, until)
+                if isinstance(entry.towards, list):
+                    for other in entry.towards:
+                        self.watcher.excuse(other, until)
+            case "split":
+                for side in entry.sides:
+                    for name in side:
+                        self.watcher.excuse(name, until)
+                        for other in (one for rest in entry.sides if rest is not side for one in rest):
+                            self._cut(name, other, entry.last, False)
+            case "lose" | "slow" | "reorder" | "duplicate":
+                self._treat(entry, 1)
+                self.at(until, lambda: self._treat(entry, -1))
+            case "replay":
+                self._replay(entry, until)
+            case "clone":
+                for name in self.some(entry.members, running):
+                    self.watcher.excuse(name, until)
+                    self.start(name, f"{name}#2")
+                    self.at(until, lambda n=name: self.end(f"{n}#2", False))  # type: ignore[misc]
+            case "drain":
+                for name in self.some(entry.members, running):
+                    self.deliver(name, Drain(True))
+                    self.at(until, lambda n=name: self.deliver(n, Drain(False)))  # type: ignore[misc]
+            case "join":
+                for name in self.some(entry.members):
+                    self.at(self.now + self.random.randrange(SECOND), lambda n=name: self.start(n))  # type: ignore[misc]
+
+    def end(self, place: str, leaves: bool) -> None:
+        """A process ends; its lines break."""
+        member = self.members.get(place)
+        if member is None:
+            return
+        if leaves:
+            self._step(member, [Leave()])
+        for line in list(member.lines):
+            self._hang_up(member, line)
+        member.gone = True
+        del self.members[place]
+        self.verdict.member_seconds += (self.now - member.started) / SECOND
+        if place == member.name:
+            self.watcher.killed(place, self.now)
+
+    def hold(self, name: str) -> None:
+        """It stands still."""
+        if name in self.members:
+            self.members[name].still += 1
+
+    def go_on(self, name: str) -> None:
+        """It goes on, with what came meanwhile before it."""
+        member = self.members.get(name)
+        if member is None or not member.still:
+            return
+        member.still -= 1
+        if not member.still:
+            inputs, member.inbox = member.inbox, []
+            self._step(member, inputs)
+
+    def _starve(self, name: str, until: int, share: float) -> None:
+        member = self.members.get(name)
+        if member is None or self.now >= until:
+            return
+        self.hold(name)
+        self.at(self.now + int(STARVED_TURN * (1 - share)), lambda: self.go_on(name))
+        self.at(self.now + STARVED_TURN, lambda: self._starve(name, until, share))
+
+    def _flap(self, name: str, until: int, by: int) -> None:
+        if self.now >= until:
+            if name not in self.members:
+                self.start(name)
+            return
+        if name in self.members:
+            self.end(name, False)
+        else:
+            self.start(name)
+        self.at(self.now + by, lambda: self._flap(name, until, by))
+
+    def _cut(self, name: str, other: str, last: int, both: bool) -> None:
+        ways = [self.ways.way(name, other)] + ([self.ways.way(other, name)] if both else [])
+        for way in ways:
+            way.cut += 1
+
+        def heal() -> None:
+            for way in ways:
+                way.cut -= 1
+
+        self.at(self.now + last, heal)
+
+    def _treat(self, entry: FaultEntry, sign: int) -> None:
+        on = sign > 0
+        for name in self.some(entry.members):
+            for other in self.some(entry.towards):
+                way = self.ways.way(name, other)
+                if entry.kind == "lose":
+                    way.lose = entry.share if on else 0.0
+                elif entry.kind == "duplicate":
+                    way.duplicate = entry.share if on else 0.0
+                elif entry.kind == "reorder":
+                    way.reorder, way.reorder_by = (entry.share if on else 0.0), entry.by
+                else:
+                    way.slower += sign * entry.by
+
+    def _replay(self, entry: FaultEntry, until: int) -> None:
+        """What went over the ways by now comes again later, whoever has died or changed meanwhile."""
+        old = [
+            (to, data)
+            for (_, to), way in sorted(self.ways.ways.items())
+            for data in way.kept
+            if self.random.random() < entry.share
+        ]
+        for to, data in old:
+            when = self.now + entry.by + int(self.random.random() * entry.last)
+            self.at(when, lambda t=to, d=data: self.deliver(t, Heard(d)))  # type: ignore[misc]
+
+    # --- looking ---
+
+    def truth(self) -> set[str]:
+        """Names of processes that run."""
+        return {member.name for member in self.members.values()}
+
+    def agree(self) -> bool:
+        """Whether all that run hold the same view and it is true."""
+        views = [member.view for place, member in self.members.items() if place == member.name]
+        if not views or len({view.table.digest for view in views}) > 1:
+            return False
+        first = views[0].table
+        living = {belief.name for belief in first.all() if belief.living}
+        return (
+            living == self.truth()
+            and not any(view.table.suspects for view in views)
+            and all(view.own.phase is Phase.ALIVE for view in views)
+        )
+
+    def difference(self) -> str:
+        """What keeps views from being equal and true, for people."""
+        truth = self.truth()
+        for place, member in sorted(self.members.items()):
+            living = {belief.name for belief in member.view.table.all() if belief.living}
+            if living != truth or member.view.table.suspects:
+                missing, extra = sorted(truth - living), sorted(living - truth)
+                suspects = sorted(member.view.table.suspects)
+                return f"{place} lacks {missing[:5]}, has {extra[:5]} too many, suspects {suspects[:5]}"
+        digests = {place: member.view.table.digest for place, member in self.members.items()}
+        return f"{len(set(digests.values()))} digests"
+
+    def _check(self) -> None:
+        if not self.agree():
+            self._agree_since = -1
+        elif self._agree_since < 0:
+            self._agree_since = self.now
+        self.at(self.now + CHECK, self._check)
+
+
+def play(script: FleetScript, seed: int | None = None) -> Verdict:
+    """A script in virtual time."""
+    return Virtual(script, seed).run()
