--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -320,6 +320,55 @@
     assert of(broker.end(parts[2]), Answer) == [Answer(rid, True)]
 
 
+def overdue(late_worth: float) -> tuple[Broker, int, list[int]]:
+    """A query of two parts past its target, with one part in and the other's first try out."""
+    broker = Broker(settings((query_class(late_worth=late_worth),), limits={"duplicate": False}))
+    rid, parts, _ = broker.query([0, 1])
+    broker.end(parts[0])
+    broker.actions.clear()
+    broker.advance(2 * SECOND)
+    return broker, rid, parts
+
+
+def test_past_the_target_tries_are_spread_over_the_time_left_and_the_last_one_ends_the_query() -> None:
+    broker, rid, parts = overdue(late_worth=0.3)
+    assert not of(broker.end(parts[1], Result.FULL), Send)
+    assert len(of(broker.advance(SECOND), Send)) == 1  # of 2 s for the two tries left
+    assert not of(broker.end(parts[1], Result.FULL), Send)
+    assert not of(broker.advance(400 * MS), Send)
+    assert len(of(broker.advance(100 * MS), Send)) == 1
+    assert of(broker.end(parts[1], Result.FULL), Refuse)[0].id == rid  # nothing is left to wait for
+
+
+def test_past_the_target_a_class_without_late_worth_is_given_up_at_once() -> None:
+    broker, rid, _ = overdue(late_worth=0.0)
+    assert [refuse.id for refuse in of(broker.actions, Refuse)] == [rid]
+
+
+def test_past_the_target_no_copy_goes_beside_a_try_that_is_out() -> None:
+    broker = Broker(settings((query_class(),), limits={"attempts": 2}))
+    _, parts, _ = broker.query([0, 1])
+    broker.end(parts[0])
+    broker.policy.spare = 0.0  # none may go out before the target
+    broker.advance(2 * SECOND)
+    broker.policy.spare = 10.0
+    assert not of(broker.advance(2 * SECOND - 50 * MS), Send)
+
+
+def test_a_node_with_an_open_connection_goes_before_one_that_needs_a_new_one() -> None:
+    broker = Broker(settings((query_class(),)))
+    for _ in range(10):
+        _, parts, _ = broker.query([0])
+        broker.end(parts[0])
+    assert len({send.node for send in broker.sends}) == 1
+    broker.sends.clear()
+    for _ in range(20):
+        broker.advance(16 * SECOND)  # beyond the idle time: no connection is open
+        _, parts, _ = broker.query([0])
+        broker.end(parts[0])
+    assert len({send.node for send in broker.sends}) == 2
+
+
 def test_a_part_counts_once_however_many_copies_answer() -> None:
     broker = Broker(settings((query_class(target=2 * SECOND),)))
     rid, parts, _ = broker.query([0, 1])
