A query past its target is tried on, spread over the time left, or given up: never just held

Change: past the target a class without late worth is given up; else the tries that are left go out, spread evenly over the client's time that is left, and no copies.

--- a/quincepath/policy.py
+++ b/quincepath/policy.py
@@ -56,6 +56,7 @@
 CULPRITS_MOST = 100  # such keys remembered
 DIAL_MEMORY = 10 * SECOND  # so long after a connection took too long to open, open ones are preferred
 DIAL_COST = 2  # parts counted on top for a node that would need a new one
+NEW_CONNECTION = 1.5  # a node not heard within the idle time looks so much slower: it needs a connection
 SHORT_MEMORY = 10 * SECOND  # so long after a first try came with little time a repeat's age is not known
 COLD_CORES = 1.75  # cores that a cold node is filled as: not told, two are taken, with an eighth to spare
 CORES_GUESS = 2  # so many parts at once are taken not to slow each other: in a call, and in the expected wait
@@ -350,9 +351,11 @@
             expected /= 1 + self.settings.call_work / self._typical(query).base
         if node.entry.zone != self.settings.zone:
             expected *= 1 + ZONE_COST * self.settings.cross_zone_charge
-        if self.now < self.dial_failed_at + DIAL_MEMORY and self.now > node.heard + self.limits.idle_close:
-            # New connections fail while open ones serve: guards against dialling where it can be helped.
-            load += DIAL_COST
+        if self.now > node.heard + self.limits.idle_close:
+            expected *= NEW_CONNECTION
+            if self.now < self.dial_failed_at + DIAL_MEMORY:
+                # New connections fail while open ones serve: guards against dialling where it can be helped.
+                load += DIAL_COST
         return load, expected, self.random.random()
 
     def _may_join(self, node: Node) -> bool:
@@ -677,14 +680,19 @@
         return None if best is None else best[1:]
 
     def _next_extra(self, query: QueryState) -> tuple[PartState, Node] | None:
-        """A further try or second copy, for a part that failed or is late."""
-        if not self.budget.allows(self.now) or self.now >= query.aim:
+        """A further try or second copy, for a part that failed or is late; past the target no copies.
+
+        Tries go on past it while a late answer is worth something: guards against holding a query for which
+        nothing more would be sent.
+        """
+        overdue = self.now >= query.aim
+        if not self.budget.allows(self.now) or overdue and not query.spec.late_worth:
             return None
         for part in query.parts:
             if part.covered() or not part.attempts or not self._may_still_send(part):
                 continue
             copies = self.limits.duplicate and query.spec.effect is Effect.SAFE
-            if part.live and not copies or self.now < part.not_before:
+            if part.live and (overdue or not copies) or self.now < part.not_before:
                 continue
             found = self._best_replica(part)
             if found and all(found[0][0] <= a.node.load(self.now, query.kind) for a in part.live):
@@ -775,6 +783,9 @@
                 # Spread the tries that are left over the time that is left: no other replica takes one now.
                 pause = RETRY_PAUSE * query.spec.target * 2.0 ** (len(part.attempts) - 1)
                 part.not_before = self.now + int(pause)
+            if self.now >= query.aim:  # spread over what is left of the client's time
+                tries = max(self.limits.attempts - len(part.attempts), 0) + 1
+                part.not_before = max(part.not_before, self.now + (query.end - self.now) // tries)
             attempt.failed = event.result is not Result.TIMEOUT
             if event.result is Result.RESET:
                 query.crashes += 1
