Brokers keep a view of the fleet over sockets; scripts play over processes with a relay between

The edge (UDP and TCP on one number, on the one loop), the fleet: section of the configuration, quincepath fleet view|explain|history against any member's metrics listener, metrics and a log line for each change of belief. Off without the section: nothing is imported (tests for the broker and for run). quincepath/lab/fleet plays a script over processes: each direction of each pair passes a relay that loses, delays, reorders, doubles, replays and cuts; processes are killed, stopped, starved, doubled, started with a skewed clock. Verdicts from the relay's, holders' and clients' records and from what each broker answers, held against the processes that run. rehearse plays such scripts, too.

--- a/quincepath/broker/service.py
+++ b/quincepath/broker/service.py
@@ -116,6 +116,11 @@
             self._path,
             self._ended,
         )
+        self.fleet = None
+        if config.fleet is not None:
+            from quincepath.fleet.service import Fleet  # not loaded without a fleet
+
+            self.fleet = Fleet(config, config.fleet, loop, self.log, self.metrics.registry)
         self.open: dict[int, _Open] = {}
         self.stopping = False
         self.on_stopped: Callable[[], None] | None = None
@@ -234,6 +239,10 @@
             self.reception.left(self.loop.now, handle)
 
     def _metrics_request(self, exchange: Exchange) -> None:
+        page = None if self.fleet is None else self.fleet.page(exchange.request.path)
+        if page is not None:
+            exchange.respond(page.status, {"Content-Type": "application/json"}, page.body)
+            return
         if exchange.request.path != "/metrics":
             exchange.text(404, "not found; metrics are at /metrics")
             return
@@ -416,6 +425,8 @@
             return
         self.log.info("stopping", open=len(self.open))
         self.stopping = True
+        if self.fleet is not None:
+            self.fleet.drain()
         self.door.stop()
         self.on_stopped = on_stopped
         self.server.drain()
@@ -425,6 +436,8 @@
         """Give back all sockets."""
         if self._turn in self.loop.turn_hooks:
             self.loop.turn_hooks.remove(self._turn)
+        if self.fleet is not None:
+            self.fleet.close()
         self.server.close()
         self.metrics_server.close()
         self.upstream.close()
--- /dev/null
+++ b/quincepath/cli/fleet.py
@@ -0,0 +1,136 @@
+"""``quincepath fleet``: what one member believes of the fleet, as a table or as JSON."""
+
+import http.client
+import json
+import sys
+import time
+from typing import Any
+from urllib.parse import quote, urlsplit
+
+import click
+from rich.console import Console
+from rich.table import Table
+
+TIMEOUT = 5.0  # seconds
+WIDTH = 130
+AT = click.option("--at", required=True, help="Metrics address of any member, such as http://127.0.0.1:9090.")
+JSON = click.option("--json", "as_json", is_flag=True)
+
+
+def ask(at: str, path: str) -> Any:
+    """What a member says on its metrics listener; ends with status 1 where it says nothing."""
+    parts = urlsplit(at if "//" in at else f"//{at}")
+    try:
+        if not parts.hostname or not parts.port:
+            raise OSError("expected an address with a port, such as http://127.0.0.1:9090")
+        line = http.client.HTTPConnection(parts.hostname, parts.port, timeout=TIMEOUT)
+        try:
+            line.request("GET", path)
+            response = line.getresponse()
+            body = response.read()
+        finally:
+            line.close()
+        if response.status != 200:
+            said = body.decode("utf-8", "replace").strip()
+            click.echo(f"{at}: status {response.status}: {said}", err=True)
+            if response.status == 404 and "metrics are at" in said:
+                click.echo("this broker has no fleet: section in its configuration", err=True)
+            sys.exit(1)
+        return json.loads(body)
+    except (OSError, ValueError, http.client.HTTPException) as error:
+        click.echo(f"{at}: no answer: {error}", err=True)
+        sys.exit(1)
+
+
+def _table(title: str, columns: list[str], rows: list[list[Any]]) -> None:
+    table = Table(title=title)
+    for column in columns:
+        table.add_column(column, overflow="fold")
+    for row in rows:
+        table.add_row(*("" if cell is None else str(cell) for cell in row))
+    Console(width=max(Console().width, WIDTH)).print(table)
+
+
+def _clock(at: float) -> str:
+    return time.strftime("%H:%M:%S", time.localtime(at)) + f".{int(at % 1 * 1000):03d}"
+
+
+@click.group()
+def fleet() -> None:
+    """Ask a member of the fleet what it believes."""
+
+
+@fleet.command()
+@AT
+@JSON
+def view(at: str, as_json: bool) -> None:
+    """Who is believed what, since when, by whose word. Exit status 3 where the view is not settled."""
+    page = ask(at, "/fleet/view")
+    if as_json:
+        click.echo(json.dumps(page))
+    else:
+        state = "settled" if page["settled"] else "unsettled, because " + "; ".join(page["unsettled"])
+        title = f"{page['fleet']} as {page['member']} sees it: {page['live']} live, "
+        title += f"{page['configured']} configured; {state}"
+        columns = [
+            "name",
+            "phase",
+            "for s",
+            "heard s ago",
+            "told by",
+            "accusers",
+            "zone",
+            "version",
+            "config",
+        ]
+        rows = [
+            [
+                row["name"], row["phase"] + (", draining" if row["draining"] else ""), row["for_s"],
+                row["heard_s"], row["told_by"], ", ".join(row["accusers"]), row["zone"], row["version"],
+                row["config"],
+            ]
+            for row in page["members"]
+        ]  # fmt: skip
+        rows += [[name, "never heard", *[None] * 7] for name in page["never_heard"]]
+        _table(title, columns, rows)
+    sys.exit(0 if page["settled"] else 3)
+
+
+@fleet.command()
+@click.argument("name")
+@AT
+@JSON
+def explain(name: str, at: str, as_json: bool) -> None:
+    """Why a member is believed what it is, and what comes next."""
+    page = ask(at, f"/fleet/explain/{quote(name, safe='')}")
+    if as_json:
+        click.echo(json.dumps(page))
+        return
+    belief = page["belief"]
+    state = "not believed anything" if belief is None else f"{belief['phase']} for {belief['for_s']} s"
+    click.echo(f"{name} as {page['by']} sees it: {state}, because {page['because']}; {page['next']}")
+    _history(page["history"])
+
+
+@fleet.command()
+@AT
+@JSON
+def history(at: str, as_json: bool) -> None:
+    """Changes of belief, oldest first."""
+    page = ask(at, "/fleet/history")
+    if as_json:
+        click.echo(json.dumps(page))
+        return
+    _history(page)
+
+
+def _history(lines: list[dict[str, Any]]) -> None:
+    columns = ["at", "name", "was", "now", "incarnation", "told by", "cause"]
+    rows = [
+        [
+            _clock(line["at"]),
+            *(line[key] for key in ("name", "was", "now", "incarnation", "told_by", "cause")),
+        ]
+        for line in lines
+    ]
+    _table("changes of belief", columns, rows)
--- a/quincepath/cli/lab.py
+++ b/quincepath/cli/lab.py
@@ -151,6 +151,41 @@
     sys.exit(1 if figures["findings"] or figures["fell"] else 0)
 
 
+def is_fleet(path: Path) -> bool:
+    """Whether a script is of a fleet's bad day: it names its ``members``."""
+    try:
+        return any(line.startswith("members:") for line in path.read_text(encoding="utf-8").splitlines())
+    except (OSError, UnicodeDecodeError):
+        return False  # told with its cause when it is loaded
+
+
+def _fleet(path: Path, seed: int | None, sockets: bool, as_json: bool, more: bool) -> None:
+    """Play a fleet's bad day, in virtual time or over processes, say what came of it and end."""
+    from quincepath.lab.fleet.run import FleetRun
+    from quincepath.lab.fleet.script import FleetScript
+    from quincepath.lab.fleet.virtual import play
+
+    if more:
+        fail([f"{path}: a fleet script takes --seed, --sockets and --json only"])
+    try:
+        plan = load(path, FleetScript)
+    except ConfigError as error:
+        fail(error.lines)
+    if sockets:
+        with tempfile.TemporaryDirectory(prefix="quincepath-fleet-") as folder:
+            try:
+                figures = FleetRun(plan, seed, Path(folder)).play()
+            except ValueError as error:
+                fail([f"{path}: {error}"])
+        if figures["void"]:
+            click.echo(json.dumps(figures, indent=None if as_json else 1))
+            fail([f"this machine could not keep up (behind by {figures['late_most_s']} s): nothing is shown"])
+    else:
+        figures = {"simulated": True, **play(plan, seed).figures()}
+    click.echo(json.dumps(figures, indent=None if as_json else 1))
+    sys.exit(1 if figures["findings"] else 0)
+
+
 class Ears:
     """Hears a rehearsal's lines: moves the bar, keeps and records them where wanted, keeps to a pace.
 
@@ -225,7 +260,13 @@
     sockets: bool,
     speed: float | None,
 ) -> None:
-    """Play an incident in virtual time. Exit status 1 if a rule broke or a holder fell over."""
+    """Play an incident in virtual time. Exit status 1 if a rule broke or a holder fell over.
+
+    A script that names its members is a fleet's bad day: exit status 1 if views were not equal and true at
+    the end, or a broker was believed dead that ran.
+    """
+    if not is_day and is_fleet(script):
+        _fleet(script, seed, sockets, as_json, bool(record or report or vs or setting or speed))
     plan = _script(script, is_day)
     if sockets and speed not in (None, 1.0):
         fail([f"--speed {speed}: --sockets plays in real time"])
--- a/quincepath/cli/main.py
+++ b/quincepath/cli/main.py
@@ -14,6 +14,7 @@
 from rich.table import Table
 
 from quincepath.broker.service import Broker
+from quincepath.cli.fleet import fleet
 from quincepath.cli.lab import fail, hunt, rehearse_command, replay
 from quincepath.config.load import ConfigError, load
 from quincepath.config.schema import Config, Roster, check_holders, plain
@@ -67,7 +68,10 @@
         broker = Broker(config, loop, path.parent)
     except OSError as error:
         fail([f"{path}: cannot listen: {error}"])
-    click.echo(json.dumps({"remote_read": broker.url, "metrics": broker.metrics_url}))
+    where = {"remote_read": broker.url, "metrics": broker.metrics_url}
+    if broker.fleet is not None:
+        where["fleet"] = broker.fleet.address
+    click.echo(json.dumps(where))
     sys.stdout.flush()
     run_until_signal(loop, broker)
 
@@ -381,5 +385,5 @@
     sys.exit(0 if answered else 1)
 
 
-for command in (rehearse_command, replay, hunt):
+for command in (rehearse_command, replay, hunt, fleet):
     main.add_command(command)
--- /dev/null
+++ b/quincepath/fleet/edge.py
@@ -0,0 +1,252 @@
+"""Datagrams and connections of a member on the one loop. Moves bytes and time to the view and back.
+
+A message on a connection is four bytes of its length (big-endian) and itself. Each exchange is a connection
+of its own; how many and for how long is the view's to say.
+"""
+
+import socket
+from collections import Counter
+from collections.abc import Callable
+
+from quincepath.fleet.messages import FRAME
+from quincepath.fleet.view.core import (
+    Call,
+    Called,
+    Frame,
+    Framed,
+    HangUp,
+    Heard,
+    Input,
+    Lost,
+    Output,
+    Packet,
+    Told,
+    View,
+)  # fmt: skip
+from quincepath.fleet.view.facts import Change
+from quincepath.net.dial import Dial, why
+from quincepath.net.loop import READ, Loop, Timer
+from quincepath.net.stream import Listener, Stream
+
+HEAD = 4
+DATAGRAMS = 64  # read in one go; the rest waits for the next turn
+LONGEST = 65_535
+CONNECTIONS = 256  # taken at once; the view hangs up on most of them sooner
+LINGER = 1_000_000_000  # ns that a line may take to send its last words
+BIND_TRIES = 16
+
+
+class _Line:
+    """One connection: frames out of bytes, and what waits while it is not established."""
+
+    def __init__(self) -> None:
+        self.dial: Dial | None = None
+        self.stream: Stream | None = None
+        self.waiting: list[bytes] = []
+        self.data = bytearray()
+        self.ending = False
+
+
+class Edge:
+    """Sockets of one view. ``on_told`` gets what is for people."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        view: View,
+        places: dict[str, tuple[str, int]],
+        host: str,
+        port: int,
+        on_told: Callable[[Change | Told], None],
+    ) -> None:
+        self.loop, self.view, self.places, self.on_told = loop, view, places, on_told
+        self.sent: Counter[str] = Counter()  # messages and bytes that went out, by kind
+        self.unsent = 0  # datagrams that the system did not take
+        self._lines: dict[int, _Line] = {}
+        self._taken = 0
+        self._timer: Timer | None = None
+        self._closed = False
+        self._bind(host, port)
+        self.udp.setblocking(False)
+        loop.watch(self.udp, READ, self._readable)
+        self.step([])
+
+    def _bind(self, host: str, port: int) -> None:
+        """One number for both; a free one is looked for where none is asked for."""
+        for attempt in range(BIND_TRIES):
+            self.listener = Listener(
+                self.loop, host, port, self._accepted, lambda: len(self._lines), CONNECTIONS
+            )
+            self.udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            try:
+                self.udp.bind((host, self.listener.port))
+            except OSError:
+                self.listener.close()
+                self.udp.close()
+                if port or attempt == BIND_TRIES - 1:
+                    raise
+            else:
+                self.address = f"{host}:{self.listener.port}"
+                return
+
+    def step(self, inputs: list[Input]) -> None:
+        """One step of the view, and what comes of it."""
+        if self._closed:
+            return
+        for out in self.view.step(self.loop.clock(), inputs):
+            self._carry_out(out)
+        due = self.view.due
+        if self._timer is None or self._timer.call is None or self._timer.at != due:
+            if self._timer is not None:
+                self._timer.cancel()
+            self._timer = self.loop.call_at(due, self._due)
+
+    def _due(self) -> None:
+        self.step([])
+
+    def _carry_out(self, out: Output) -> None:
+        match out:
+            case Packet(to, data):
+                self._datagram(to, data)
+            case Call(line, to):
+                self._call(line, to)
+            case Frame(line, data):
+                self._frame(line, data)
+            case HangUp(line):
+                self._hang_up(line)
+            case Change() | Told():
+                self.on_told(out)
+
+    # --- datagrams ---
+
+    def _datagram(self, to: str, data: bytes) -> None:
+        try:
+            self.udp.sendto(data, self.places[to])
+        except OSError:  # as good as lost on the way
+            self.unsent += 1
+            return
+        self.sent["datagrams"] += 1
+        self.sent["bytes"] += len(data)
+
+    def _readable(self, _: int) -> None:
+        inputs: list[Input] = []
+        for _ in range(DATAGRAMS):
+            try:
+                inputs.append(Heard(self.udp.recv(LONGEST)))
+            except (BlockingIOError, InterruptedError):
+                break
+            except OSError:  # an error of an earlier datagram of ours, told here
+                continue
+        self.step(inputs)
+
+    # --- lines ---
+
+    def _call(self, number: int, to: str) -> None:
+        line = self._lines[number] = _Line()
+
+        def opened(sock: socket.socket) -> None:
+            line.dial = None
+            self._stream(number, line, sock)
+            for chunk in line.waiting:
+                if line.stream is not None:
+                    line.stream.write(chunk)
+            line.waiting.clear()
+            if line.ending:
+                self._finish(number, line)
+
+        def failed(code: int) -> None:
+            line.dial = None
+            self._ended(number, why(code))
+
+        timeout = self.view.settings.exchange_time
+        line.dial = Dial(self.loop, self.places[to], timeout, opened, failed)
+
+    def _accepted(self, sock: socket.socket) -> None:
+        self._taken += 1
+        number = -self._taken
+        line = self._lines[number] = _Line()
+        self._stream(number, line, sock)
+        self.step([Called(number)])
+
+    def _stream(self, number: int, line: _Line, sock: socket.socket) -> None:
+        line.stream = Stream(
+            self.loop,
+            sock,
+            lambda data: self._data(number, line, data),
+            lambda why_: self._ended(number, why_),
+        )
+
+    def _data(self, number: int, line: _Line, data: bytes) -> None:
+        line.data += data
+        inputs: list[Input] = []
+        while len(line.data) >= HEAD:
+            length = int.from_bytes(line.data[:HEAD])
+            if length > FRAME:
+                self.view.dropped["too large"] += 1
+                if line.stream is not None:
+                    line.stream.close()
+                self._ended(number, "a message over the limit")
+                return
+            if len(line.data) < HEAD + length:
+                break
+            inputs.append(Framed(number, bytes(line.data[HEAD : HEAD + length])))
+            del line.data[: HEAD + length]
+        if inputs:
+            self.step(inputs)
+
+    def _frame(self, number: int, data: bytes) -> None:
+        line = self._lines.get(number)
+        if line is None:
+            return
+        chunk = len(data).to_bytes(HEAD) + data
+        self.sent["frames"] += 1
+        self.sent["bytes"] += len(chunk)
+        if line.stream is not None:
+            line.stream.write(chunk)
+        else:
+            line.waiting.append(chunk)
+
+    def _hang_up(self, number: int) -> None:
+        line = self._lines.get(number)
+        if line is None:
+            return
+        if line.stream is not None:
+            self._finish(number, line)
+        elif line.waiting and line.dial is not None and not self._closed:
+            line.ending = True
+        else:
+            self._drop(number)
+
+    def _finish(self, number: int, line: _Line) -> None:
+        assert line.stream is not None
+        timer = self.loop.call_in(LINGER, lambda: self._drop(number))
+
+        def done() -> None:
+            timer.cancel()
+            self._lines.pop(number, None)
+
+        line.stream.finish(FRAME, done)
+
+    def _drop(self, number: int) -> None:
+        line = self._lines.pop(number, None)
+        if line is None:
+            return
+        if line.dial is not None:
+            line.dial.close()
+        if line.stream is not None:
+            line.stream.close()
+
+    def _ended(self, number: int, said: str) -> None:
+        if self._lines.pop(number, None) is not None:
+            self.step([Lost(number, said)])
+
+    def close(self) -> None:
+        """Give back all sockets."""
+        self._closed = True
+        if self._timer is not None:
+            self._timer.cancel()
+        for number in list(self._lines):
+            self._drop(number)
+        self.listener.close()
+        self.loop.watch(self.udp, 0, self._readable)
+        self.udp.close()
--- a/quincepath/fleet/messages.py
+++ b/quincepath/fleet/messages.py
@@ -18,12 +18,13 @@
 SCHEMA = 1
 OLDEST = 1  # what this program still reads
 PACKET = 1200  # bytes of a datagram: fits one packet on every sound path
-FRAME = 256 * 1024  # bytes of one message of an exchange
+FRAME = 512 * 1024  # bytes of one message of an exchange
 MEMBERS_MOST = 1000  # of one fleet
+NAME_MOST = 32  # characters of a name
 ACCUSERS_MOST = 4  # named with one suspicion
 COUNTER_MOST = 1 << 40  # an incarnation beyond is no count of anything that happened
 
-Name = Annotated[str, Meta(min_length=1, max_length=64)]
+Name = Annotated[str, Meta(min_length=1, max_length=NAME_MOST)]
 Word = Annotated[str, Meta(max_length=40)]
 Counter = Annotated[int, Meta(ge=0, le=COUNTER_MOST)]
 Word64 = Annotated[int, Meta(ge=0, le=(1 << 63) - 1)]
--- /dev/null
+++ b/quincepath/lab/fleet/run.py
@@ -0,0 +1,431 @@
+"""A fleet script over processes: brokers, holders and clients, a relay between the brokers, real time.
+
+Verdicts come from the records of relay, holders and clients, and at the end from what each broker answers
+about its view, held against the processes that run. The day is over when all views have been equal for a
+while after the last fault, at the script's length at the latest: a test waits for a condition, never for a
+time.
+"""
+
+import http.client
+import json
+import random
+import signal
+import sys
+from collections import Counter
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+from urllib.parse import urlsplit
+
+import msgspec
+from ruamel.yaml import YAML
+
+from quincepath.lab.audit import Report, audit
+from quincepath.lab.cluster import Cluster, HolderProcess
+from quincepath.lab.demo import DISTRICTS, ZONES, demo_config
+from quincepath.lab.fleet.faults import Faults
+from quincepath.lab.fleet.links import Ways
+from quincepath.lab.fleet.relay import Relay
+from quincepath.lab.fleet.script import FleetScript
+from quincepath.lab.fleet.verdict import SECOND, Verdict, Watcher
+from quincepath.lab.load import Client, QuerySource, Seen
+from quincepath.lab.process import PROGRAM, Child
+from quincepath.lab.record import Bounds, ClassRules, Halt, Mark, Writer
+from quincepath.net.loop import Loop
+
+MS = 1_000_000
+LOOK = 50 * MS  # between looks at processes that come up or end
+STABLE = 2 * SECOND  # all views equal for so long after the last fault: the day is over
+SLACK = 300 * MS
+LATE = 2 * SECOND  # behind its schedule by more, a run says nothing
+BEFORE = 1 << 62
+PATIENCE = {"fleet-glance": 3 * SECOND, "hours-report": 5 * SECOND}
+LIVING = ("joining", "alive", "suspect")
+GROUP = "a"  # the one replica set
+SHARDS = {name: values for name, (group, values) in DISTRICTS.items() if group == GROUP}
+
+
+class Seat(Child):
+    """One broker process and what is known of it from outside."""
+
+    def __init__(self, place: str, name: str, number: int, folder: Path) -> None:
+        super().__init__(place, folder / f"broker-{place}.log")
+        self.member, self.number, self.folder = name, number, folder
+        self.url = self.metrics = ""
+        self.client: Client | None = None
+        self.up = False
+        self.still = 0
+        self.killed_at = -1
+        self.started = 0
+
+    @property
+    def config(self) -> Path:
+        """Its configuration file."""
+        return self.folder / f"broker-{self.name}.yaml"
+
+
+class FleetRun:
+    """One run. ``play`` starts all processes, plays the day in real time, ends them and judges."""
+
+    def __init__(self, script: FleetScript, seed: int | None, folder: Path) -> None:
+        if any(entry.kind == "drain" for entry in script.faults):
+            raise ValueError("drain: only in virtual time; over processes a broker drains when it is stopped")
+        if script.members > 40:
+            raise ValueError(f"members is {script.members}: expected at most 40 over processes")
+        self.script, self.folder = script, folder
+        self.seed = script.seed if seed is None else seed
+        self.loop = Loop()
+        replays = any(entry.kind == "replay" for entry in script.faults)
+        self.ways = Ways(script.links, self.seed, replays)
+        self.relay = Relay(self.loop, self.ways, self._packet)
+        self.watcher = Watcher()
+        self.verdict = Verdict(quiet_from=script.quiet_from)
+        self.writer = Writer(folder / "clients.jsonl", "clients")
+        self.random = random.Random(f"{self.seed} clients")
+        self.seats: dict[str, Seat] = {}
+        self.cluster = Cluster(self._holders())
+        self.queries: QuerySource
+        self.begin = 0
+        self.late_most = 0
+        self.answers: Counter[str] = Counter()
+        self.asked = self.open = 0
+        self.digests: dict[str, int] = {}
+        self.agreed_since = -1
+        self.look_at = 0
+        self.over = False
+        self.retired: list[Client] = []
+
+    # --- what is played on ---
+
+    @property
+    def now(self) -> int:
+        """ns of the day."""
+        return self.loop.clock() - self.begin
+
+    def at(self, when: int, call: Callable[[], None]) -> None:
+        """At a time of the day."""
+        self.loop.call_at(self.begin + when, call)
+
+    def running(self) -> list[str]:
+        """Names whose process is up."""
+        return [seat.member for seat in self.seats.values() if seat.up and seat.name == seat.member]
+
+    def start(self, name: str, place: str = "", ahead: int = 0) -> None:
+        """A new process; it takes part when it says that it serves."""
+        place = place or name
+        seat = self.seats.get(place)
+        if seat is None:
+            seat = self.seats[place] = Seat(place, name, self.script.names.index(name), self.folder)
+            with seat.config.open("w") as file:
+                YAML(typ="safe").dump(self._config(seat), file)
+        if seat.process is not None:
+            return
+        skewed = [sys.executable, "-m", "quincepath.lab.fleet.skewed", str(ahead / SECOND)]
+        seat.program = skewed if ahead else PROGRAM
+        seat.start(["--log-level", "info", "serve", "-c", str(seat.config)])
+        seat.started = self.now if self.begin else 0
+        self.mark(f"started {place}")
+        self.loop.call_in(LOOK, lambda: self._look(seat))
+
+    def _look(self, seat: Seat) -> None:
+        if seat.process is None or seat.up:
+            return
+        if not seat.ready():
+            self.loop.call_in(LOOK, lambda: self._look(seat))
+            return
+        self._comes_up(seat)
+
+    def _comes_up(self, seat: Seat) -> None:
+        where = seat.said()
+        seat.url, seat.metrics = where["remote_read"], where["metrics"]
+        host, _, port = where["fleet"].rpartition(":")
+        seat.up = True
+        if seat.client is None:
+            seat.client = Client(self.loop, seat.url, self.writer, seat.number)
+        else:
+            seat.client.move(seat.url)
+        if seat.killed_at >= 0:
+            self.writer.write(Halt(seat.killed_at, seat.number, self.loop.clock(), True))
+            seat.killed_at = -1
+        if seat.name == seat.member:
+            self.relay.real[seat.member] = (host, int(port))
+            self.watcher.started(seat.member, self.now)
+        self.digests.pop(seat.name, None)
+        self._unsettle()
+        self.mark(f"up {seat.name}")
+
+    def end(self, place: str, leaves: bool) -> None:
+        """SIGKILL, or SIGTERM where it leaves in good order."""
+        seat = self.seats.get(place)
+        if seat is None or seat.process is None:
+            return
+        self.mark(f"{'stopped' if leaves else 'killed'} {place}")
+        if seat.up:
+            self.verdict.member_seconds += (self.now - seat.started) / SECOND
+        seat.up = False
+        seat.still = 0
+        self._unsettle()
+        self.digests.pop(place, None)
+        if leaves:
+            seat.signal(signal.SIGTERM)
+            self._reap(seat)
+        else:
+            seat.killed_at = self.loop.clock()
+            seat.kill()
+        if place == seat.member:
+            if not leaves:
+                self.relay.real.pop(seat.member, None)
+            self.watcher.killed(place, self.now)
+
+    def _reap(self, seat: Seat) -> None:
+        process = seat.process
+        if process is None:
+            return
+        if process.poll() is None:
+            self.loop.call_in(LOOK, lambda: self._reap(seat))
+            return
+        self.relay.real.pop(seat.member, None)
+        seat.kill()
+
+    def hold(self, name: str) -> None:
+        """SIGSTOP."""
+        seat = self.seats.get(name)
+        if seat is not None and seat.up:
+            seat.still += 1
+            if seat.still == 1:
+                self.writer.write(Halt(self.loop.clock(), seat.number, BEFORE, False))
+                seat.signal(signal.SIGSTOP)
+
+    def go_on(self, name: str) -> None:
+        """SIGCONT."""
+        seat = self.seats.get(name)
+        if seat is not None and seat.still:
+            seat.still -= 1
+            if not seat.still:
+                seat.signal(signal.SIGCONT)
+                self.writer.write(Halt(self.loop.clock(), seat.number, self.loop.clock(), False))
+
+    def drain(self, name: str, draining: bool) -> None:
+        """Not over processes; ``__init__`` refuses such scripts."""
+        raise NotImplementedError
+
+    def again(self, to: str, data: bytes) -> None:
+        """A datagram of earlier arrives once more."""
+        self.relay.send(to, data)
+
+    def mark(self, what: str) -> None:
+        """Note something of the script."""
+        self.writer.write(Mark(self.loop.clock(), what))
+
+    # --- files ---
+
+    def _holders(self) -> list[HolderProcess]:
+        districts = [value for values in SHARDS.values() for value in values]
+        options = ["--seed", str(self.seed), "--work-ms", "3", "--tractors", "1"]
+        return [
+            HolderProcess(
+                f"h{n}", ZONES[n % len(ZONES)], list(SHARDS), districts, options,
+                self.folder / f"holder-h{n}.jsonl",
+            )
+            for n in range(self.script.load.holders)
+        ]  # fmt: skip
+
+    def _config(self, seat: Seat) -> dict[str, Any]:
+        script, place = self.script, len(self.seats)
+        values = demo_config(0, holders=self.cluster.entries(set()))
+        values["shards"]["map"] = [one for one in values["shards"]["map"] if one["set"] == GROUP]
+        zone = script.zones[seat.number % len(script.zones)]
+        values["broker"] = {
+            "number": seat.number, "brokers": script.members, "zone": zone, "seed": self.seed * 1000 + place,
+        }  # fmt: skip
+        peers = []
+        for number, name in enumerate(script.names):
+            if name != seat.member:
+                host = f"127.{self.seed % 100 + 100}.{place}.{number + 1}"
+                peers.append({"name": name, "address": self.relay.add(seat.name, seat.member, name, host)})
+        fleet: dict[str, Any] = {"name": "rehearsal", "member": seat.member, "peers": peers}
+        fleet["join"] = [name for name in script.join if name != seat.member]
+        for name in ("period", "reclaim", "exchange"):
+            value = getattr(script.view, name)
+            if value is not None:
+                fleet[name] = f"{value}ns"
+        values["fleet"] = fleet
+        return values
+
+    # --- the day ---
+
+    def play(self) -> dict[str, Any]:
+        """Figures of the day; ``findings`` are what must not be."""
+        try:
+            self.cluster.start()
+            for name in self.script.names:
+                if name not in self.script.absent:
+                    self.start(name)
+            present = [seat for seat in self.seats.values() if seat.name not in self.script.absent]
+            if not self.loop.run_until(lambda: all(seat.up for seat in present), 60):
+                raise RuntimeError("brokers did not come up within 60 s")
+            self._bounds()
+            self.begin = self.loop.clock()
+            for seat in present:
+                seat.started = 0
+            self._ask()
+            Faults(self.script, self.seed, self, self.ways, self.watcher)
+            self.loop.run_until(self._done, self.script.length / SECOND + 5)
+            length = self.now
+            self.over = True
+            self.loop.run_until(lambda: not self.open, 10)
+            views = self._views()
+        finally:
+            self._stop()
+        report = audit(sorted(self.folder.glob("*.jsonl")))
+        return self._figures(report, views, length)
+
+    def _done(self) -> bool:
+        if self.now >= self.script.length:
+            return True
+        if self.now < max(self.script.quiet_from + STABLE, self.look_at):
+            return False
+        coming = any(seat.process is not None and not seat.up for seat in self.seats.values())
+        if coming or not 0 <= self.agreed_since < self.now - STABLE:
+            return False
+        # Equal views may all be wrong still: nobody has noticed yet. Whether they are true is asked for.
+        self.look_at = self.now + SECOND
+        return not self._untrue(self._views())
+
+    def _ask(self) -> None:
+        districts = {value: n for n, values in enumerate(SHARDS.values()) for value in values}
+        self.queries = QuerySource(
+            self.seed, districts, {"fleet-glance": 3 * SECOND, "hours-report": 5 * SECOND}
+        )
+        self._next_query(self.begin)
+
+    def _next_query(self, due: int) -> None:
+        if self.over or self.now > self.script.length:
+            return
+        self.late_most = max(self.late_most, self.loop.clock() - due)
+        up = [seat for seat in self.seats.values() if seat.up and not seat.still and seat.client is not None]
+        if up:
+            self.asked += 1
+            self.open += 1
+            client = self.random.choice(up).client
+            assert client is not None
+            client.ask(f"q{self.asked}", self.queries.next(), self._answered)
+        after = due + int(self.random.expovariate(self.script.load.rate) * SECOND)
+        self.loop.call_at(after, lambda: self._next_query(after))
+
+    def _answered(self, seen: Seen) -> None:
+        self.open -= 1
+        mark = seen.response.headers.get("quincepath-answer", "") if seen.response else ""
+        self.answers[mark or {0: "lost", -1: "given up"}.get(seen.status, str(seen.status))] += 1
+
+    def _packet(self, place: str, digest: int, size: int) -> None:
+        self.verdict.messages += 1
+        self.verdict.bytes += size + 28
+        seat = self.seats.get(place)
+        if seat is None or not seat.up or place != seat.member:
+            return
+        if self.digests.get(place) != digest:
+            self.digests[place] = digest
+            self._unsettle()
+        if self.agreed_since < 0 and len(set(self.digests.values())) == 1:
+            if set(self.digests) == set(self.running()):
+                self.agreed_since = self.now
+
+    def _unsettle(self) -> None:
+        self.agreed_since = -1
+
+    # --- the end ---
+
+    def _views(self) -> dict[str, Any]:
+        found: dict[str, Any] = {}
+        for seat in self.seats.values():
+            if seat.up and seat.name == seat.member:
+                parts = urlsplit(seat.metrics)
+                line = http.client.HTTPConnection(parts.hostname or "", parts.port, timeout=5)
+                try:
+                    line.request("GET", "/fleet/view")
+                    found[seat.member] = json.loads(line.getresponse().read())
+                except (OSError, ValueError, http.client.HTTPException) as error:
+                    found[seat.member] = {"error": str(error), "members": []}
+                finally:
+                    line.close()
+        return found
+
+    def _stop(self) -> None:
+        for seat in self.seats.values():
+            if seat.up:
+                self.verdict.member_seconds += (self.now - seat.started) / SECOND
+            if seat.client is not None:
+                seat.client.close()
+            seat.stop()
+        self.cluster.stop()
+        self.relay.close()
+        self.writer.close()
+        self.loop.close()
+
+    def _bounds(self) -> None:
+        for name, need in (("fleet-glance", 0.6), ("hours-report", 1.0)):
+            self.writer.write(ClassRules(name, need, need))
+        self.writer.write(
+            Bounds(
+                3, 500 * MS, 100 * MS, 2.0, 2 * SECOND, 10 * SECOND, 0, 0.0, 0.0, self.script.members, SLACK
+            )
+        )
+
+    def _told_dead(self) -> Counter[str]:
+        """How often a broker's log says that another one is dead, by the other."""
+        told: Counter[str] = Counter()
+        for seat in self.seats.values():
+            if seat.name != seat.member or seat.log is None or not seat.log.exists():
+                continue
+            for raw in seat.log.read_bytes().splitlines():
+                try:
+                    line = msgspec.json.decode(raw)
+                except msgspec.MsgspecError:
+                    continue
+                if line.get("event") == "fleet: belief changed" and line["now"] == "dead":
+                    told[line["node"]] += 1
+        return told
+
+    @staticmethod
+    def _untrue(views: dict[str, Any]) -> list[str]:
+        """What brokers believe that is not so."""
+        found, truth = [], set(views)
+        for name, page in sorted(views.items()):
+            living = {row["name"] for row in page["members"] if row["phase"] in LIVING}
+            if living != truth:
+                lacks, extra = sorted(truth - living), sorted(living - truth)
+                found.append(f"{name} lacks {lacks}, has {extra} too many: {page.get('error', '')}")
+            suspects = [row["name"] for row in page["members"] if row["phase"] == "suspect"]
+            if suspects:
+                found.append(f"{name} suspects {suspects} at the end")
+        return found
+
+    def _figures(self, report: Report, views: dict[str, Any], length: int) -> dict[str, Any]:
+        verdict, truth = self.verdict, set(views)
+        findings = [str(finding) for finding in report.findings]
+        findings += self._untrue(views)
+        if len({page.get("digest") for page in views.values()}) > 1:
+            findings.append("views have different digests at the end")
+        settled = self.agreed_since
+        verdict.settled = settled
+        if settled < 0:
+            findings.append("the relay never saw equal digests that stayed")
+        elif verdict.settle_time > self.script.expect.settle:
+            findings.append(f"settled only {verdict.settle_time / SECOND:.1f} s after the last fault")
+        told = self._told_dead()
+        if self.script.expect.deaths == "none":
+            for name in sorted(set(told) - set(self.watcher.disturbed)):
+                findings.append(f"{name} was believed dead by {told[name]}, and ran undisturbed")
+        unended = self.asked - sum(self.answers.values())
+        return {
+            "settle_s": None if settled < 0 else round(verdict.settle_time / SECOND, 2),
+            "lasted_s": round(length / SECOND, 1),
+            "live": sorted(truth),
+            "answers": dict(sorted(self.answers.items())),
+            "messages_a_second": round(verdict.messages / max(verdict.member_seconds, 1e-9), 2),
+            "bytes_a_second": round(verdict.bytes / max(verdict.member_seconds, 1e-9), 1),
+            "late_most_s": round(self.late_most / SECOND, 3),
+            "void": self.late_most > LATE or unended != 0,
+            "findings": findings,
+        }
--- a/quincepath/lab/fleet/virtual.py
+++ b/quincepath/lab/fleet/virtual.py
@@ -20,14 +20,14 @@
     View,
 )  # fmt: skip
 from quincepath.fleet.view.facts import Change, Phase, ViewSettings
+from quincepath.lab.fleet.faults import Faults
 from quincepath.lab.fleet.links import Ways
-from quincepath.lab.fleet.script import FaultEntry, FleetScript, Some
+from quincepath.lab.fleet.script import FleetScript
 from quincepath.lab.fleet.verdict import SECOND, Verdict, Watcher
 
 BACKLOG = 256  # datagrams that wait for a member that stands still; more are lost
 DIAL_TIME = SECOND  # until a line over a cut way counts as lost
 CHECK = SECOND // 10  # between looks whether all views are equal and true
-STARVED_TURN = SECOND  # a starved member runs for its share of each
 FOREVER = 1 << 61
 
 
@@ -94,8 +94,7 @@
             for name in self.script.names:
                 if name not in self.script.absent and not self.warm:
                     self.at(self.random.randrange(SECOND // 5), lambda n=name: self.start(n))  # type: ignore[misc]
-            for entry in self.script.faults:
-                self.at(entry.at, lambda e=entry: self.begin(e))  # type: ignore[misc]
+            Faults(self.script, self.seed, self, self.ways, self.watcher)
             self.at(CHECK, self._check)
         while self._events and self._events[0][0] <= end:
             self.now, _, call = heapq.heappop(self._events)
@@ -124,8 +123,20 @@
                 )
         return verdict
 
-    def start(self, name: str, place: str = "") -> None:
-        """A new process, without memory of earlier ones."""
+    def running(self) -> list[str]:
+        """Names of those that run, clones left out."""
+        return [place for place, member in self.members.items() if place == member.name]
+
+    def drain(self, name: str, draining: bool) -> None:
+        """It says that it drains."""
+        self.deliver(name, Drain(draining))
+
+    def again(self, to: str, data: bytes) -> None:
+        """A datagram of earlier arrives once more."""
+        self.deliver(to, Heard(data))
+
+    def start(self, name: str, place: str = "", ahead: int = 0) -> None:
+        """A new process, without memory of earlier ones; no view reads a wall clock, however far ahead."""
         self._step(self._begin(name, place), [])
 
     def _begin(self, name: str, place: str = "") -> Member:
@@ -264,70 +275,6 @@
 
     # --- faults ---
 
-    def some(self, chosen: Some, of: list[str] | None = None) -> list[str]:
-        """The named ones, or a share of all, at least one."""
-        if isinstance(chosen, list):
-            return list(chosen)
-        names = self.script.names if of is None else of
-        return sorted(self.random.sample(names, max(round(chosen * len(names)), 1)))
-
-    def begin(self, entry: FaultEntry) -> None:
-        """A fault begins; what ends it is planned here, too."""
-        until = self.now + entry.last
-        running = [place for place, member in self.members.items() if place == member.name]
-        match entry.kind:
-            case "kill" | "leave" | "skew":
-                for name in self.some(entry.members, running):
-                    self.watcher.excuse(name, until)
-                    self.end(name, entry.kind == "leave")
-                    if entry.back or entry.kind == "skew":
-                        self.at(until, lambda n=name: self.start(n))  # type: ignore[misc]
-            case "flap":
-                for name in self.some(entry.members, running):
-                    self.watcher.excuse(name, until)
-                    self._flap(name, until, entry.by)
-            case "pause":
-                for name in self.some(entry.members, running):
-                    self.watcher.excuse(name, until)
-                    self.hold(name)
-                    self.at(until, lambda n=name: self.go_on(n))  # type: ignore[misc]
-            case "starve":
-                for name in self.some(entry.members, running):
-                    self.watcher.excuse(name, until)
-                    self._starve(name, until, entry.share)
-            case "cut":
-                for name in self.some(entry.members):
-                    for other in self.some(entry.towards):
-                        if other != name:
-                            self._cut(name, other, entry.last, entry.both)
-                    self.watcher.excuse(name, until)
-                if isinstance(entry.towards, list):
-                    for other in entry.towards:
-                        self.watcher.excuse(other, until)
-            case "split":
-                for side in entry.sides:
-                    for name in side:
-                        self.watcher.excuse(name, until)
-                        for other in (one for rest in entry.sides if rest is not side for one in rest):
-                            self._cut(name, other, entry.last, False)
-            case "lose" | "slow" | "reorder" | "duplicate":
-                self._treat(entry, 1)
-                self.at(until, lambda: self._treat(entry, -1))
-            case "replay":
-                self._replay(entry, until)
-            case "clone":
-                for name in self.some(entry.members, running):
-                    self.watcher.excuse(name, until)
-                    self.start(name, f"{name}#2")
-                    self.at(until, lambda n=name: self.end(f"{n}#2", False))  # type: ignore[misc]
-            case "drain":
-                for name in self.some(entry.members, running):
-                    self.deliver(name, Drain(True))
-                    self.at(until, lambda n=name: self.deliver(n, Drain(False)))  # type: ignore[misc]
-            case "join":
-                for name in self.some(entry.members):
-                    self.at(self.now + self.random.randrange(SECOND), lambda n=name: self.start(n))  # type: ignore[misc]
-
     def end(self, place: str, leaves: bool) -> None:
         """A process ends; its lines break."""
         member = self.members.get(place)
@@ -358,62 +305,6 @@
             inputs, member.inbox = member.inbox, []
             self._step(member, inputs)
 
-    def _starve(self, name: str, until: int, share: float) -> None:
-        member = self.members.get(name)
-        if member is None or self.now >= until:
-            return
-        self.hold(name)
-        self.at(self.now + int(STARVED_TURN * (1 - share)), lambda: self.go_on(name))
-        self.at(self.now + STARVED_TURN, lambda: self._starve(name, until, share))
-
-    def _flap(self, name: str, until: int, by: int) -> None:
-        if self.now >= until:
-            if name not in self.members:
-                self.start(name)
-            return
-        if name in self.members:
-            self.end(name, False)
-        else:
-            self.start(name)
-        self.at(self.now + by, lambda: self._flap(name, until, by))
-
-    def _cut(self, name: str, other: str, last: int, both: bool) -> None:
-        ways = [self.ways.way(name, other)] + ([self.ways.way(other, name)] if both else [])
-        for way in ways:
-            way.cut += 1
-
-        def heal() -> None:
-            for way in ways:
-                way.cut -= 1
-
-        self.at(self.now + last, heal)
-
-    def _treat(self, entry: FaultEntry, sign: int) -> None:
-        on = sign > 0
-        for name in self.some(entry.members):
-            for other in self.some(entry.towards):
-                way = self.ways.way(name, other)
-                if entry.kind == "lose":
-                    way.lose = entry.share if on else 0.0
-                elif entry.kind == "duplicate":
-                    way.duplicate = entry.share if on else 0.0
-                elif entry.kind == "reorder":
-                    way.reorder, way.reorder_by = (entry.share if on else 0.0), entry.by
-                else:
-                    way.slower += sign * entry.by
-
-    def _replay(self, entry: FaultEntry, until: int) -> None:
-        """What went over the ways by now comes again later, whoever has died or changed meanwhile."""
-        old = [
-            (to, data)
-            for (_, to), way in sorted(self.ways.ways.items())
-            for data in way.kept
-            if self.random.random() < entry.share
-        ]
-        for to, data in old:
-            when = self.now + entry.by + int(self.random.random() * entry.last)
-            self.at(when, lambda t=to, d=data: self.deliver(t, Heard(d)))  # type: ignore[misc]
-
     # --- looking ---
 
     def truth(self) -> set[str]:
--- a/quincepath/lab/process.py
+++ b/quincepath/lab/process.py
@@ -55,17 +55,24 @@
             selector.register(self.process.stdout, selectors.EVENT_READ)
             return bool(selector.select(0))
 
-    def first_line(self, key: str) -> Any:
-        """Wait for the line that tells where it serves; the value of ``key`` in it. Raises ``StartError``."""
+    def said(self) -> dict[str, Any]:
+        """Wait for the line that tells where it serves. Raises ``StartError``."""
         assert self.process is not None and self.process.stdout is not None
         line = self.process.stdout.readline()
         try:
-            return json.loads(line)[key]
-        except (ValueError, KeyError, TypeError):
+            return dict(json.loads(line))
+        except (ValueError, TypeError):
             status = self.process.poll()
             where = "" if self.log is None else f", see {self.log}"
             raise StartError(f"{self.name} said {line!r}, exit status {status}{where}") from None
 
+    def first_line(self, key: str) -> Any:
+        """Of the line that tells where it serves, one value. Raises ``StartError``."""
+        said = self.said()
+        if key not in said:
+            raise StartError(f"{self.name} said {said}, without {key!r}")
+        return said[key]
+
     def signal(self, number: int) -> None:
         """Send a signal, if it runs."""
         if self.process is not None:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -412,7 +412,7 @@
         "import sys, quincepath.platform.__main__\n"
         "own = {m.partition('.')[0] for m in sys.modules} - set(sys.stdlib_module_names)\n"
         "print(sorted(m for m in own if not m.startswith('_')))\n"
-        "tools = ('quincepath.lab', 'quincepath.cli', 'quincepath.observe')\n"
+        "tools = tuple('quincepath.' + one for one in ('lab', 'cli', 'observe', 'fleet', 'store'))\n"
         "print([m for m in sys.modules if m.startswith(tools)])"
     )
     run = subprocess.run([sys.executable, "-c", script], capture_output=True, text=True, check=True)
--- a/tests/test_rings.py
+++ b/tests/test_rings.py
@@ -16,7 +16,7 @@
     "merge/series.py", "membership/roster.py", "shards/shardmap.py", "upstream/outcomes.py",
     "platform/config.py", "platform/clients.py", "platform/frames.py", "platform/link.py",
     "platform/places.py", "platform/targets.py", "platform/ending.py",
-    "fleet/messages.py", "fleet/view/facts.py", "fleet/view/table.py", "fleet/view/news.py",
+    "fleet/messages.py", "fleet/pages.py", "fleet/view/facts.py", "fleet/view/table.py", "fleet/view/news.py",
     "fleet/view/own.py", "fleet/view/probing.py", "fleet/view/exchange.py", "fleet/view/core.py",
     "upstream/remote_read.py", "net/http1.py", "config/values.py", "config/schema.py",
 ]  # fmt: skip
@@ -35,6 +35,7 @@
 EDGE = {"quincepath.net.loop", "quincepath.net.stream", "quincepath.net.server", "quincepath.upstream.pool",
         "quincepath.broker.service", "quincepath.net.dial", "quincepath.platform.nodes",
         "quincepath.platform.discovery", "quincepath.platform.service",
+        "quincepath.fleet.edge", "quincepath.fleet.service",
         "quincepath.membership.source", "quincepath.config.load"}  # fmt: skip
 TOOLS = ("quincepath.lab", "quincepath.standins", "quincepath.cli")
 
