--- /dev/null
+++ b/quincepath/fleet/permits.py
@@ -0,0 +1,232 @@
+"""Who may be out, as agreed: what the entries of the keepers' log come to. Pure: same entries, same state.
+
+The leader judges a request by the budget, with what it believes of the fleet, and proposes a grant that names
+who was out by belief. The entry is judged once more when it is applied, by what is committed then, so that
+two grants on their way at once cannot overdraw it together. A permit never runs out by itself: only *back* or
+a *close* by hand frees its place, since one that is cut off may have begun. What is overdue halts everything.
+"""
+
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta
+
+from quincepath.fleet.agreement.entries import Entry
+from quincepath.fleet.budget import Limits, Reason, Unit, refusals
+from quincepath.fleet.messages import Counter, Name
+
+HISTORY_MOST = 2000
+IDS_MOST = 4000  # commands remembered, so that a repeat does nothing twice
+SCHEMA = 1
+Text = Annotated[str, Meta(max_length=400)]
+
+
+class Grant(msgspec.Struct, tag="grant", frozen=True):
+    """Let one go out, for a drain or a release, at most until ``overdue_at`` (ms of the asker's wall clock).
+
+    ``out``: who else was out by the leader's belief, and why (names of ``Reason``).
+    """
+
+    id: Text
+    by: Text
+    at: Counter
+    name: Name
+    purpose: Text
+    overdue_at: Counter
+    out: dict[str, str] = {}
+
+
+class Begun(msgspec.Struct, tag="begun", frozen=True):
+    """The one with a permit has gone out."""
+
+    id: Text
+    by: Text
+    at: Counter
+    name: Name
+
+
+class Back(msgspec.Struct, tag="back", frozen=True):
+    """It is back, ready and warm: its place is free."""
+
+    id: Text
+    by: Text
+    at: Counter
+    name: Name
+
+
+class Close(msgspec.Struct, tag="close", frozen=True):
+    """By hand: its place is free, whatever became of it."""
+
+    id: Text
+    by: Text
+    at: Counter
+    name: Name
+    why: Text
+
+
+class Halt(msgspec.Struct, tag="halt", frozen=True):
+    """Nothing new is granted until ``Resume``."""
+
+    id: Text
+    by: Text
+    at: Counter
+    why: Text
+
+
+class Resume(msgspec.Struct, tag="resume", frozen=True):
+    """Grants are made again; what is overdue halts again unless it was closed."""
+
+    id: Text
+    by: Text
+    at: Counter
+
+
+Command = Grant | Begun | Back | Close | Halt | Resume
+
+
+class Permit(msgspec.Struct):
+    """One that may be out, or is."""
+
+    name: str
+    purpose: str
+    by: str
+    granted_at: int
+    overdue_at: int
+    begun_at: int = 0
+    index: int = 0
+
+
+class Line(msgspec.Struct):
+    """What was asked, by whom, when, and what came of it."""
+
+    index: int
+    at: int
+    by: str
+    what: str
+    name: str
+    result: str
+
+
+class State(msgspec.Struct):
+    """All that a snapshot holds."""
+
+    schema: int = SCHEMA
+    permits: dict[str, Permit] = {}
+    halted: str = ""  # why; empty: not halted
+    history: list[Line] = []
+    results: dict[str, str] = {}  # by command's id; empty text: done
+
+
+_encoder = msgspec.msgpack.Encoder()
+_commands: msgspec.msgpack.Decoder[Command] = msgspec.msgpack.Decoder(Command)
+_states = msgspec.msgpack.Decoder(State)
+
+
+def encode(command: Command) -> bytes:
+    """For the log."""
+    return _encoder.encode(command)
+
+
+class Permits:
+    """The machine of the keepers' log."""
+
+    def __init__(self, units: dict[str, Unit], limits: dict[str, Limits]) -> None:
+        self.units, self.limits = units, limits
+        self.state = State()
+
+    # --- the log ---
+
+    def apply(self, entry: Entry) -> None:
+        """One committed entry. What cannot be read changes nothing, and stands in the history."""
+        try:
+            command = _commands.decode(entry.data)
+        except msgspec.MsgspecError as error:
+            self._note(entry.index, 0, "unknown", "unreadable", "", f"refused: {error}"[:200])
+            return
+        if command.id in self.state.results:
+            return  # asked again: it was done, or refused, before
+        result = self._do(command, entry.index)
+        self.state.results[command.id] = result
+        while len(self.state.results) > IDS_MOST:
+            del self.state.results[next(iter(self.state.results))]
+        name = getattr(command, "name", "")
+        said = f"refused: {result}" if result else "done"
+        self._note(entry.index, command.at, command.by, type(command).__name__.lower(), name, said)
+
+    def _note(self, index: int, at: int, by: str, what: str, name: str, result: str) -> None:
+        self.state.history.append(Line(index, at, by, what, name, result))
+        del self.state.history[:-HISTORY_MOST]
+
+    def _do(self, command: Command, index: int) -> str:
+        """What stands in its way; empty where it is done."""
+        permits = self.state.permits
+        match command:
+            case Grant():
+                why = self.why_not(command.name, _reasons(command.out), command.at)
+                if why:
+                    return "; ".join(why)[:400]
+                permits[command.name] = Permit(
+                    command.name, command.purpose, command.by, command.at, command.overdue_at, index=index
+                )
+            case Halt():
+                self.state.halted = command.why or "by hand"
+            case Resume():
+                self.state.halted = ""
+            case Begun() | Back() | Close():
+                permit = permits.get(command.name)
+                if permit is None:
+                    return f"{command.name} has no permit"
+                if isinstance(command, Begun):
+                    permit.begun_at = permit.begun_at or command.at
+                else:
+                    del permits[command.name]
+        return ""
+
+    def dump(self) -> bytes:
+        """For a snapshot."""
+        return _encoder.encode(self.state)
+
+    def load(self, data: bytes) -> None:
+        """From a snapshot; nothing is the beginning. Raises ``ValueError`` for another schema."""
+        self.state = _states.decode(data) if data else State()
+        if self.state.schema != SCHEMA:
+            raise ValueError(f"permits of schema {self.state.schema}, this program reads {SCHEMA}")
+
+    # --- judging ---
+
+    def out(self, believed: dict[str, Reason], now: int) -> dict[str, Reason]:
+        """Everybody who is out: by permit, or by belief. ``now``: ms of a wall clock."""
+        found = {name: why for name, why in believed.items() if name in self.units}
+        for name, permit in self.state.permits.items():
+            found[name] = Reason.OVERDUE if now > permit.overdue_at else Reason.PERMITTED
+        return found
+
+    def overdue(self, now: int) -> list[str]:
+        """Those with a permit whose time is over: they may be out still."""
+        return sorted(name for name, permit in self.state.permits.items() if now > permit.overdue_at)
+
+    def why_not(self, name: str, believed: dict[str, Reason], now: int) -> list[str]:
+        """What stands in the way of a grant; empty where nothing does."""
+        if name not in self.units:
+            return [f"{name} is none of the configured brokers and holders"]
+        if name in self.state.permits:
+            return [f"{name} has a permit already, by {self.state.permits[name].by}"]
+        if self.state.halted:
+            return [f"halted: {self.state.halted}"]
+        overdue = self.overdue(now)
+        if overdue:
+            return [f"overdue: {', '.join(overdue)}; bring it back, or close its permit"]
+        return [str(one) for one in refusals(name, self.units, self.out(believed, now), self.limits)]
+
+    def status(self, now: int) -> dict[str, Any]:
+        """For people."""
+        return {
+            "halted": self.state.halted,
+            "overdue": self.overdue(now),
+            "permits": [msgspec.to_builtins(permit) for permit in self.state.permits.values()],
+        }
+
+
+def _reasons(named: dict[str, str]) -> dict[str, Reason]:
+    known = {reason.name: reason for reason in Reason}
+    return {name: known.get(why, Reason.SUSPECT) for name, why in named.items()}
--- a/tests/test_rings.py
+++ b/tests/test_rings.py
@@ -16,9 +16,10 @@
     "merge/series.py", "membership/roster.py", "shards/shardmap.py", "upstream/outcomes.py",
     "platform/config.py", "platform/clients.py", "platform/frames.py", "platform/link.py",
     "platform/places.py", "platform/targets.py", "platform/ending.py",
-    "fleet/messages.py", "fleet/pages.py",
-    "fleet/agreement/core.py", "fleet/agreement/entries.py", "fleet/agreement/messages.py", "fleet/view/facts.py", "fleet/view/table.py", "fleet/view/news.py",
-    "fleet/view/own.py", "fleet/view/probing.py", "fleet/view/exchange.py", "fleet/view/core.py",
+    "fleet/messages.py", "fleet/pages.py", "fleet/budget.py", "fleet/permits.py",
+    "fleet/agreement/core.py", "fleet/agreement/entries.py", "fleet/agreement/messages.py",
+    "fleet/view/facts.py", "fleet/view/table.py", "fleet/view/news.py", "fleet/view/own.py",
+    "fleet/view/probing.py", "fleet/view/exchange.py", "fleet/view/core.py",
     "upstream/remote_read.py", "net/http1.py", "config/values.py", "config/schema.py",
 ]  # fmt: skip
 FORBIDDEN = {
