The keepers' store on lmdb: synced before what depends on it, troubles told by name

The store names its fleet and broker; full, read-only, damaged, foreign, newer and unreachable stores are told by name. A store is looked through by a child process before it is opened: LMDB checks no pages, and a file cut short would end the broker that maps it. New dependency: lmdb.

--- a/quincepath/fleet/budget.py
+++ b/quincepath/fleet/budget.py
@@ -1,8 +1,8 @@
 """How many may be out at once: a function of who is out and why, small enough to be read aloud.
 
 What is out counts whatever the reason. Limits are by replica set (holders that are ready and warm), by zone
-and in total, for brokers and holders apart, in numbers and in shares of the configured number. Where the budget
-is overdrawn by nature, nothing new is granted; a limit that is broken already is named with who is out.
+and in total, for brokers and holders apart, in numbers and in shares of the configured number. Where the
+budget is overdrawn by nature, nothing new is granted; a limit that is broken is named with who is out.
 """
 
 from collections.abc import Iterable, Mapping
--- /dev/null
+++ b/quincepath/store/__init__.py
@@ -0,0 +1,1 @@
+"""What survives: one LMDB environment a broker. Loaded only by a broker that keeps something."""
--- /dev/null
+++ b/quincepath/store/check.py
@@ -0,0 +1,35 @@
+"""``python -m quincepath.store.check PATH``: read all of a store; status 1 and its trouble if it is unsound.
+
+A process of its own, because a damaged file may end the one that maps it.
+"""
+
+import sys
+from pathlib import Path
+
+import lmdb
+
+from quincepath.store.errors import StoreError
+from quincepath.store.keeper import META, load, trouble_of
+
+
+def main() -> int:
+    """0 where the store is sound or empty."""
+    path = Path(sys.argv[1])
+    try:
+        env = lmdb.open(str(path), readonly=True, lock=False, subdir=True)
+        with env.begin() as txn:
+            empty = txn.get(META) is None
+        if not empty:
+            load(env)
+        env.close()
+    except StoreError as error:
+        print(error)
+        return 1
+    except (OSError, lmdb.Error) as error:
+        print(trouble_of(error, path))
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
