--- a/quincepath/store/keeper.py
+++ b/quincepath/store/keeper.py
@@ -163,7 +163,7 @@
         return stable
 
     def write(self, order: Persist) -> None:
-        """Carry out one ``Persist``; on disk when this returns. Raises ``StoreError``, nothing changed then."""
+        """Carry out one ``Persist``; on disk when this returns. Raises ``StoreError``: nothing changed."""
         try:
             with self.env.begin(write=True) as txn:
                 txn.put(HARD, seal(Hard(order.term, order.vote, self.stable.epoch)))
