--- a/quincepath/fleet/agreement/entries.py
+++ b/quincepath/fleet/agreement/entries.py
@@ -8,7 +8,7 @@
 
 from quincepath.fleet.messages import Counter, Name
 
-COMMAND_MOST = 64 * 1024  # bytes of one command
+COMMAND_MOST = 128 * 1024  # bytes of one command
 KEEPERS_MOST = 7
 
 Data = Annotated[bytes, Meta(max_length=COMMAND_MOST)]
--- a/quincepath/fleet/budget.py
+++ b/quincepath/fleet/budget.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+import msgspec
+
 SHOWN = 5  # names in one refusal
 
 
@@ -75,32 +77,40 @@
         return f"{self.limit}: at most {self.most} out, would be {self.would_be}; out now: {now}"
 
 
-def _refusal(
-    limit: str, most: int, units: Iterable[Unit], out: Mapping[str, Reason], more: int
-) -> Refusal | None:
-    """Where so many ``more`` than are out already of these units would be over the limit."""
-    gone = tuple((unit.name, out[unit.name].value) for unit in units if unit.name in out)
-    return Refusal(limit, most, len(gone) + more, gone) if len(gone) + more > most else None
+class Check(msgspec.Struct, frozen=True):
+    """One limit as it stands for one unit: of these members at most so many may be out."""
 
+    limit: str
+    most: int
+    members: tuple[str, ...]
 
-def refusals(
-    wanted: str, units: Mapping[str, Unit], out: Mapping[str, Reason], limits: Mapping[str, Limits]
-) -> list[Refusal]:
-    """What stands in the way of one more going out; empty where nothing does.
 
-    One that is out already, for whatever reason, adds nothing: what is broken may be taken into repair, as
-    long as the limits hold as things are. Raises ``KeyError`` for a name that is not configured.
-    """
+def checks(wanted: str, units: Mapping[str, Unit], limits: Mapping[str, Limits]) -> tuple[Check, ...]:
+    """All limits that one more going out must keep. Raises ``KeyError`` for a name that is not configured."""
     unit = units[wanted]
-    mine, more = limits[unit.kind], int(wanted not in out)
+    mine = limits[unit.kind]
     same = [one for one in units.values() if one.kind == unit.kind]
-    zone = [one for one in same if one.zone == unit.zone]
-    found = [
-        _refusal(f"{unit.kind}s", mine.total.most(len(same)), same, out, more),
-        _refusal(f"{unit.kind}s of zone {unit.zone!r}", mine.zone.most(len(zone)), zone, out, more),
-    ]
+    zone = tuple(one.name for one in same if one.zone == unit.zone)
+    found = [Check(f"{unit.kind}s", mine.total.most(len(same)), tuple(one.name for one in same))]
+    if unit.zone:
+        found.append(Check(f"{unit.kind}s of zone {unit.zone!r}", mine.zone.most(len(zone)), zone))
     for name in unit.sets:
-        members = [one for one in same if name in one.sets]
+        members = tuple(one.name for one in same if name in one.sets)
         most = max(len(members) - mine.ready_least, 0)
-        found.append(_refusal(f"holders of replica set {name!r}", most, members, out, more))
-    return [refusal for refusal in found if refusal is not None]
+        found.append(Check(f"holders of replica set {name!r}", most, members))
+    return tuple(found)
+
+
+def refusals(wanted: str, checks: Iterable[Check], out: Mapping[str, Reason]) -> list[Refusal]:
+    """What stands in the way of one more going out; empty where nothing does.
+
+    One that is out already, for whatever reason, adds nothing: what is broken may be taken into repair, as
+    long as the limits hold as things are.
+    """
+    found = []
+    for check in checks:
+        gone = tuple((name, out[name].value) for name in check.members if name in out)
+        would_be = len(gone) + int(wanted not in out)
+        if would_be > check.most:
+            found.append(Refusal(check.limit, check.most, would_be, gone))
+    return found
--- a/quincepath/fleet/permits.py
+++ b/quincepath/fleet/permits.py
@@ -12,19 +12,21 @@
 from msgspec import Meta
 
 from quincepath.fleet.agreement.entries import Entry
-from quincepath.fleet.budget import Limits, Reason, Unit, refusals
+from quincepath.fleet.budget import Check, Reason, refusals
 from quincepath.fleet.messages import Counter, Name
 
 HISTORY_MOST = 2000
 IDS_MOST = 4000  # commands remembered, so that a repeat does nothing twice
 SCHEMA = 1
+DRAIN = "drain"  # the purpose of a permit by which all brokers drain its holder
 Text = Annotated[str, Meta(max_length=400)]
 
 
 class Grant(msgspec.Struct, tag="grant", frozen=True):
     """Let one go out, for a drain or a release, at most until ``overdue_at`` (ms of the asker's wall clock).
 
-    ``out``: who else was out by the leader's belief, and why (names of ``Reason``).
+    ``checks`` are the limits as the leader's configuration states them, so that the entry means the same on
+    every broker; ``out``: who else was out by the leader's belief, and why (names of ``Reason``).
     """
 
     id: Text
@@ -33,6 +35,7 @@
     name: Name
     purpose: Text
     overdue_at: Counter
+    checks: tuple[Check, ...] = ()
     out: dict[str, str] = {}
 
 
@@ -130,8 +133,7 @@
 class Permits:
     """The machine of the keepers' log."""
 
-    def __init__(self, units: dict[str, Unit], limits: dict[str, Limits]) -> None:
-        self.units, self.limits = units, limits
+    def __init__(self) -> None:
         self.state = State()
 
     # --- the log ---
@@ -162,7 +164,7 @@
         permits = self.state.permits
         match command:
             case Grant():
-                why = self.why_not(command.name, _reasons(command.out), command.at)
+                why = self.why_not(command.name, command.checks, _reasons(command.out), command.at)
                 if why:
                     return "; ".join(why)[:400]
                 permits[command.name] = Permit(
@@ -196,7 +198,7 @@
 
     def out(self, believed: dict[str, Reason], now: int) -> dict[str, Reason]:
         """Everybody who is out: by permit, or by belief. ``now``: ms of a wall clock."""
-        found = {name: why for name, why in believed.items() if name in self.units}
+        found = dict(believed)
         for name, permit in self.state.permits.items():
             found[name] = Reason.OVERDUE if now > permit.overdue_at else Reason.PERMITTED
         return found
@@ -205,9 +207,11 @@
         """Those with a permit whose time is over: they may be out still."""
         return sorted(name for name, permit in self.state.permits.items() if now > permit.overdue_at)
 
-    def why_not(self, name: str, believed: dict[str, Reason], now: int) -> list[str]:
+    def why_not(
+        self, name: str, checks: tuple[Check, ...], believed: dict[str, Reason], now: int
+    ) -> list[str]:
         """What stands in the way of a grant; empty where nothing does."""
-        if name not in self.units:
+        if not checks:
             return [f"{name} is none of the configured brokers and holders"]
         if name in self.state.permits:
             return [f"{name} has a permit already, by {self.state.permits[name].by}"]
@@ -216,7 +220,11 @@
         overdue = self.overdue(now)
         if overdue:
             return [f"overdue: {', '.join(overdue)}; bring it back, or close its permit"]
-        return [str(one) for one in refusals(name, self.units, self.out(believed, now), self.limits)]
+        return [str(one) for one in refusals(name, checks, self.out(believed, now))]
+
+    def drained(self) -> set[str]:
+        """Those that are to be drained by all."""
+        return {name for name, permit in self.state.permits.items() if permit.purpose == DRAIN}
 
     def status(self, now: int) -> dict[str, Any]:
         """For people."""
