Drains agreed across the fleet: committed by the keepers, laid over every broker's list

With keepers and a store in the fleet: section, quincepath fleet drain|undrain|close|halt|resume|status, at any broker, passed on to the leader. The leader judges by its limits and beliefs and refuses while its view is not settled; the entry is judged again when it is applied; a committed drain reaches the module as Members (draining). status names whom a drain waits for: every broker that may still send has to have applied it and to have nothing out there. Messages of the log have connections of their own on the same number; a store that fails makes its broker one that follows.

--- a/quincepath/broker/service.py
+++ b/quincepath/broker/service.py
@@ -120,7 +120,11 @@
         if config.fleet is not None:
             from quincepath.fleet.service import Fleet  # not loaded without a fleet
 
-            self.fleet = Fleet(config, config.fleet, loop, self.log, self.metrics.registry)
+            self.fleet = Fleet(config, config.fleet, loop, self.log, self.metrics.registry, base)
+            self.fleet.on_drained = self._drained
+            self.fleet.out_at = self._out_at
+            self.fleet.zone_name = lambda position: self.source.zone_name(position)
+            self.fleet.facts = lambda: list(self.source.state.facts.values())
         self.open: dict[int, _Open] = {}
         self.stopping = False
         self.on_stopped: Callable[[], None] | None = None
@@ -239,9 +243,7 @@
             self.reception.left(self.loop.now, handle)
 
     def _metrics_request(self, exchange: Exchange) -> None:
-        page = None if self.fleet is None else self.fleet.page(exchange.request.path)
-        if page is not None:
-            exchange.respond(page.status, {"Content-Type": "application/json"}, page.body)
+        if self.fleet is not None and self.fleet.request(exchange):
             return
         if exchange.request.path != "/metrics":
             exchange.text(404, "not found; metrics are at /metrics")
@@ -297,6 +299,21 @@
             if entry.phase.name != "READY":
                 self.upstream.close_node(entry.node)
 
+    def _drained(self, names: frozenset[str]) -> None:
+        """The fleet agreed which holders are to be drained: laid over the list."""
+        self.source.drained = names
+        self.read_list(force=True)
+
+    def _out_at(self) -> dict[str, int]:
+        """Attempts that have not ended, by holder."""
+        found: dict[str, int] = {}
+        for part in self.driver.parts.values():
+            for attempt in part.attempts:
+                fact = None if attempt.ended else self.source.state.address(attempt.node)
+                if fact is not None:
+                    found[fact.name] = found.get(fact.name, 0) + 1
+        return found
+
     def _poll(self) -> None:
         self.loop.call_in(self.config.roster_poll, self._poll)
         self.read_list()
--- a/quincepath/cli/fleet.py
+++ b/quincepath/cli/fleet.py
@@ -1,9 +1,11 @@
 """``quincepath fleet``: what one member believes of the fleet, as a table or as JSON."""
 
+import getpass
 import http.client
 import json
 import sys
 import time
+import uuid
 from typing import Any
 from urllib.parse import quote, urlsplit
 
@@ -12,6 +14,7 @@
 from rich.table import Table
 
 TIMEOUT = 5.0  # seconds
+COMMAND_TIMEOUT = 15.0  # seconds; the broker gives up sooner
 WIDTH = 130
 AT = click.option("--at", required=True, help="Metrics address of any member, such as http://127.0.0.1:9090.")
 JSON = click.option("--json", "as_json", is_flag=True)
@@ -42,6 +45,30 @@
         sys.exit(1)
 
 
+def tell(at: str, what: str, names: tuple[str, ...], by: str, why: str, key: str) -> None:
+    """Give a command to a member; says what came of it, and ends with status 1 where a part was refused."""
+    order = {"id": key or uuid.uuid4().hex, "by": by, "names": list(names), "why": why}
+    parts = urlsplit(at if "//" in at else f"//{at}")
+    line = http.client.HTTPConnection(parts.hostname or "", parts.port, timeout=COMMAND_TIMEOUT)
+    try:
+        line.request("POST", f"/fleet/{what}", json.dumps(order), {"Content-Type": "application/json"})
+        response = line.getresponse()
+        answer = json.loads(response.read())
+    except (OSError, ValueError, http.client.HTTPException) as error:
+        click.echo(
+            f"{at}: no answer: {error}; ask again with --key {order['id']}: it does nothing twice", err=True
+        )
+        sys.exit(1)
+    finally:
+        line.close()
+    if "results" not in answer:
+        click.echo(f"{at}: {answer.get('error', answer)}", err=True)
+        sys.exit(1)
+    for name, refused in answer["results"].items():
+        click.echo(f"{what} {name}".strip() + (f": {refused}" if refused else ": agreed"))
+    sys.exit(1 if any(answer["results"].values()) else 0)
+
+
 def _table(title: str, columns: list[str], rows: list[list[Any]]) -> None:
     table = Table(title=title)
     for column in columns:
@@ -134,3 +161,85 @@
         for line in lines
     ]
     _table("changes of belief", columns, rows)
+
+
+BY = click.option("--by", default=getpass.getuser, help="Who asks; stands in the log.")
+KEY = click.option("--key", default="", help="The same key again does nothing twice.")
+WHY = click.option("--why", required=True)
+
+
+@fleet.command()
+@click.argument("names", nargs=-1, required=True)
+@AT
+@BY
+@KEY
+def drain(names: tuple[str, ...], at: str, by: str, key: str) -> None:
+    """Have the fleet drain holders, within its limits. ``status`` tells when they are."""
+    tell(at, "drain", names, by, "", key)
+
+
+@fleet.command()
+@click.argument("names", nargs=-1, required=True)
+@AT
+@BY
+@KEY
+def undrain(names: tuple[str, ...], at: str, by: str, key: str) -> None:
+    """They are back: all brokers send to them again."""
+    tell(at, "undrain", names, by, "", key)
+
+
+@fleet.command(name="close")
+@click.argument("names", nargs=-1, required=True)
+@AT
+@BY
+@KEY
+@WHY
+def close_(names: tuple[str, ...], at: str, by: str, key: str, why: str) -> None:
+    """Free the place of a permit by hand, whatever became of its holder."""
+    tell(at, "close", names, by, why, key)
+
+
+@fleet.command()
+@AT
+@BY
+@KEY
+@WHY
+def halt(at: str, by: str, key: str, why: str) -> None:
+    """Grant nothing new until ``resume``."""
+    tell(at, "halt", (), by, why, key)
+
+
+@fleet.command()
+@AT
+@BY
+@KEY
+def resume(at: str, by: str, key: str) -> None:
+    """Grant again."""
+    tell(at, "resume", (), by, "", key)
+
+
+@fleet.command()
+@AT
+@JSON
+def status(at: str, as_json: bool) -> None:
+    """Permits, drains and whom they wait for, who keeps the log. Exit status 3 while a drain is not done."""
+    page = ask(at, "/fleet/status")
+    if as_json:
+        click.echo(json.dumps(page))
+    else:
+        said = f"keepers {', '.join(page['keepers'])}; leader {page['leader'] or 'unknown'}"
+        click.echo(
+            f"{said}; {page['member']}: {page['role']}, entry {page['applied']}, store {page['store']}"
+        )
+        if page["halted"]:
+            click.echo(f"halted: {page['halted']}")
+        if page["overdue"]:
+            click.echo(f"overdue: {', '.join(page['overdue'])}")
+        for permit in page["permits"]:
+            click.echo(f"{permit['name']}: {permit['purpose']}, asked by {permit['by']}")
+        for one in page["drains"]:
+            waits = "; ".join(f"{name} {why}" for name, why in one["waits_for"].items())
+            click.echo(f"{one['name']}: drained" if one["done"] else f"{one['name']}: waits: {waits}")
+        if page["progress_at"] and page["permits"]:
+            click.echo(page["progress_at"])
+    sys.exit(0 if all(one["done"] for one in page["drains"]) else 3)
--- a/quincepath/config/schema.py
+++ b/quincepath/config/schema.py
@@ -279,6 +279,29 @@
         return host, int(port)
 
 
+class LimitEntry(Model):
+    """Most that may be out at once: a number, a share of those configured, or the smaller of both."""
+
+    number: int | None = Field(None, ge=0)
+    share: Share | None = None
+    least: int = Field(1, ge=0)  # that a share allows at least
+
+
+class KindLimits(Model):
+    """Of one kind. ``ready_least``: holders of each replica set that must stay ready and warm."""
+
+    total: LimitEntry = LimitEntry(number=1)
+    zone: LimitEntry = LimitEntry(number=1)
+    ready_least: int = Field(1, ge=0)
+
+
+class FleetLimits(Model):
+    """How many may be out at once, for whatever reason."""
+
+    brokers: KindLimits = KindLimits()
+    holders: KindLimits = KindLimits()
+
+
 class FleetEntry(Model):
     """This broker as a member of a fleet. ``peers`` may name this member, too: one list may serve for all."""
 
@@ -287,6 +310,10 @@
     host: Name = "127.0.0.1"
     port: Port = 0
     peers: list[PeerEntry] = Field(max_length=1000)
+    keepers: list[MemberName] = []  # of the log of permits and drains; the same list on all. Empty: none
+    store: Name | None = None  # folder of this keeper's store, beside the file
+    limits: FleetLimits = FleetLimits()
+    overdue: Duration = 3600 * SECOND  # until a drain that is not over halts everything
     join: list[MemberName] = []  # asked first; any peer, where these do not answer
     period: Duration = 500 * MS  # between probes
     ack_time: Duration = 150 * MS  # until others are asked to probe as well
@@ -310,6 +337,7 @@
         unknown = sorted(set(self.join) - set(names))
         if unknown:
             raise ValueError(f"join: {unknown[0]!r} is none of the peers")
+        self._sound_keepers({*names, self.member})
         if not 10 * MS <= self.ack_time <= self.period // 2:
             raise ValueError("expected 10ms <= ack_time <= half of period")
         if self.floor < 2 * self.period:
@@ -318,6 +346,17 @@
             raise ValueError("expected exchange and settle of at least one period, reclaim of at least ten")
         return self
 
+    def _sound_keepers(self, known: set[str]) -> None:
+        if len(self.keepers) not in (0, 1, 3, 5, 7) or len(set(self.keepers)) < len(self.keepers):
+            raise ValueError(
+                f"keepers: {len(self.keepers)} names; expected 3, 5 or 7 different ones (1 to try)"
+            )
+        unknown = sorted(set(self.keepers) - known)
+        if unknown:
+            raise ValueError(f"keepers: {unknown[0]!r} is neither this member nor one of the peers")
+        if (self.member in self.keepers) != (self.store is not None):
+            raise ValueError("expected store with a member that is one of the keepers, and with no other")
+
 
 class Config(Model):
     """A whole configuration file."""
--- /dev/null
+++ b/quincepath/fleet/agreed.py
@@ -0,0 +1,329 @@
+"""What the fleet agrees on, on one broker: a keeper with its store, or one that follows; and its commands.
+
+Carries out what the machines say, in their order. A keeper whose store fails goes on as one that follows, and
+the broker serves queries all the same.
+"""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from quincepath.config.schema import FleetEntry
+from quincepath.fleet.agreement.core import (
+    Came,
+    Done,
+    Follower,
+    Input,
+    Keeper,
+    Persist,
+    Propose,
+    Refused,
+    Role,
+    Send,
+    Times,
+)  # fmt: skip
+from quincepath.fleet.agreement.entries import first
+from quincepath.fleet.agreement.messages import Answer, Followed, Message, Request, Whole
+from quincepath.fleet.agreement.post import Body, Report, pack, unpack
+from quincepath.fleet.drains import Progress
+from quincepath.fleet.messages import Rejected
+from quincepath.fleet.permits import Command, Permits, encode
+from quincepath.net.loop import Loop, Timer
+from quincepath.store.errors import StoreError
+from quincepath.store.keeper import KeeperStore
+
+ASK_EVERY = 500_000_000  # ns between asks of one that follows, reports, and tries of a command
+SILENT = 1_500_000_000  # ns without a word until another keeper is asked
+COMMAND_TIME = 10_000_000_000  # ns until a command is given up, as not known to be done
+WAITING_MOST = 64  # commands of people at once
+FINAL = "refused: "  # begins the reason of a refusal that no other keeper would give otherwise
+
+
+@dataclass(slots=True)
+class _Waiting:
+    """A command on its way."""
+
+    command: Command
+    done: Callable[[str], None]
+    until: int
+    number: int
+    index: int = 0
+
+
+@dataclass(slots=True)
+class Hooks:
+    """What the broker does for it."""
+
+    post: Callable[[str, bytes], None]  # send to a member
+    judge: Callable[[Command], tuple[Command, str]]  # the leader's word on a command, and why it is refused
+    applied: Callable[[], None]  # something has been agreed
+    out: Callable[[], dict[str, int]]  # attempts that are out, by holder's name
+    dropped: Callable[[str], None] = field(default=lambda cause: None)
+
+
+class Agreed:
+    """One broker's part in the log."""
+
+    def __init__(self, loop: Loop, entry: FleetEntry, base: Path, seed: int, hooks: Hooks, log: Any) -> None:
+        self.loop, self.entry, self.hooks, self.log = loop, entry, hooks, log
+        self.machine = Permits()
+        self.progress = Progress()
+        self.trouble = ""
+        self.store: KeeperStore | None = None
+        self.keeper: Keeper | None = None
+        self.follower = Follower(self.machine, tuple(entry.keepers))
+        self._waiting: dict[int, _Waiting] = {}
+        self._numbers = 0
+        self._timer: Timer | None = None
+        self._closed = False
+        self._asked = 0
+        self._shown = -1
+        self._heard_at = loop.clock()
+        if entry.member in entry.keepers:
+            self._open(base, seed)
+        loop.call_in(ASK_EVERY, self._tick)
+        self._arm()
+
+    def _open(self, base: Path, seed: int) -> None:
+        assert self.entry.store is not None
+        stable = first(tuple(self.entry.keepers))
+        try:
+            self.store = KeeperStore(base / self.entry.store, self.entry.name, self.entry.member, stable)
+        except StoreError as error:
+            self._lose_store(error)
+            return
+        self.keeper = Keeper(
+            self.entry.member, self.store.stable, self.machine, seed, self.loop.clock(), Times()
+        )
+
+    def _lose_store(self, error: StoreError) -> None:
+        self.trouble = str(error)
+        self.log.error("fleet: store unusable, this broker keeps the log no more", cause=str(error))
+        if self.store is not None:
+            self.store.close()
+            self.store = None
+        if self.keeper is not None:
+            self.follower.applied = self.keeper.applied
+            self.keeper = None
+
+    # --- state ---
+
+    @property
+    def applied(self) -> int:
+        """Index of the newest entry that has taken effect here."""
+        return self.keeper.applied if self.keeper is not None else self.follower.applied
+
+    @property
+    def leader(self) -> str:
+        """As far as is known here."""
+        return self.keeper.leader if self.keeper is not None else self.follower.leader
+
+    @property
+    def keepers(self) -> tuple[str, ...]:
+        """The newest known."""
+        return self.keeper.keepers if self.keeper is not None else self.follower.keepers
+
+    @property
+    def leads(self) -> bool:
+        """Whether this broker's keeper leads."""
+        return self.keeper is not None and self.keeper.role == Role.LEADER
+
+    # --- messages ---
+
+    def receive(self, data: bytes) -> None:
+        """A message of another broker."""
+        try:
+            post, body = unpack(data, self.entry.name, self.entry.member)
+            if post.sender not in {peer.name for peer in self.entry.peers}:
+                raise Rejected("unknown member")
+        except Rejected as error:
+            self.hooks.dropped(error.cause)
+            return
+        match body:
+            case Report(applied, out):
+                self.progress.hear(post.sender, self.loop.clock(), applied, out)
+            case Answer():
+                self._answered(body)
+            case Followed() | Whole():
+                self._heard_at = self.loop.clock()
+                if self.keeper is None and self.follower.hear(self.loop.clock(), body):
+                    self._after()
+            case Request(id, data_):
+                if self.leads:
+                    data_, why = self._judged(data_)
+                    if why:
+                        self._post(post.sender, Answer(id, 0, why, ""))
+                        return
+                    body = Request(id, data_)
+                self._step([Came(post.sender, post.epoch, body)])
+            case _:
+                self._step([Came(post.sender, post.epoch, body)])
+
+    def _post(self, to: str, body: Body) -> None:
+        epoch = 0 if self.store is None else self.store.stable.epoch
+        self.hooks.post(to, pack(self.entry.name, self.entry.member, to, epoch, body))
+
+    def _step(self, inputs: list[Input]) -> None:
+        """One step of the keeper; a failing disk ends it in the middle, as a crash would."""
+        if self.keeper is None or self._closed:
+            return
+        for out in self.keeper.step(self.loop.clock(), inputs):
+            match out:
+                case Persist():
+                    assert self.store is not None
+                    try:
+                        self.store.write(out)
+                    except StoreError as error:
+                        self._lose_store(error)
+                        return
+                case Send(to, message):
+                    self._send(to, message)
+                case Done(number, index):
+                    waiting = self._waiting.get(number)
+                    if waiting is not None:
+                        waiting.index = index
+                case Refused(number, why, leader):
+                    self._refused(number, why, leader)
+                case _:
+                    self.log.warning("fleet: keepers", cause=out.text, kind=out.kind)
+        self._after()
+        self._arm()
+
+    def _send(self, to: str, message: Message) -> None:
+        self._post(to, message)
+
+    def _arm(self) -> None:
+        if self.keeper is None or self._closed:
+            return
+        due = self.keeper.due
+        if self._timer is None or self._timer.call is None or self._timer.at != due:
+            if self._timer is not None:
+                self._timer.cancel()
+            self._timer = self.loop.call_at(due, lambda: self._step([]))
+
+    def _after(self) -> None:
+        """Something may have been applied."""
+        if self.applied == self._shown:
+            return
+        self._shown = self.applied
+        for waiting in list(self._waiting.values()):
+            self._look(waiting)
+        self.hooks.applied()
+
+    # --- now and then ---
+
+    def _tick(self) -> None:
+        if self._closed:
+            return
+        self.loop.call_in(ASK_EVERY, self._tick)
+        now = self.loop.clock()
+        others = [name for name in self.keepers if name != self.entry.member]
+        if self.keeper is None and others:
+            if now > self._heard_at + SILENT:
+                self._asked += 1
+                self._heard_at = now
+            self._post(others[self._asked % len(others)], self.follower.ask())
+        if self.machine.drained():
+            out = {name: count for name, count in self.hooks.out().items() if count}
+            self.progress.hear(self.entry.member, now, self.applied, out)
+            for name in others:
+                self._post(name, Report(self.applied, out))
+        for waiting in list(self._waiting.values()):
+            if now >= waiting.until:
+                self._end(waiting, "not known to be done: no majority of the keepers answered in time")
+            elif not waiting.index:
+                self._try(waiting)
+
+    # --- commands ---
+
+    def command(self, command: Command, done: Callable[[str], None]) -> None:
+        """Have a command committed; ``done`` gets why not, or nothing where it took effect."""
+        if len(self._waiting) >= WAITING_MOST:
+            done("too many commands wait")
+            return
+        self._numbers += 1
+        waiting = _Waiting(command, done, self.loop.clock() + COMMAND_TIME, self._numbers)
+        self._waiting[waiting.number] = waiting
+        self._try(waiting)
+
+    def _judged(self, data: bytes) -> tuple[bytes, str]:
+        """The leader's word: its own belief and limits go into a grant."""
+        try:
+            command = msgspec.msgpack.decode(data, type=Command)
+        except msgspec.MsgspecError as error:
+            return data, f"{FINAL}{error}"[:200]
+        command, why = self.hooks.judge(command)
+        return encode(command), f"{FINAL}{why}"[:200] if why else ""
+
+    def _try(self, waiting: _Waiting, at: str = "") -> None:
+        if self.leads:
+            data, why = self._judged(encode(waiting.command))
+            if why:
+                self._end(waiting, why)
+                return
+            self._step([Propose(waiting.number, data)])
+        elif at or self.leader:
+            self._post(at or self.leader, Request(waiting.number, encode(waiting.command)))
+
+    def _answered(self, answer: Answer) -> None:
+        waiting = self._waiting.get(answer.id)
+        if waiting is None:
+            return
+        if answer.index:
+            waiting.index = answer.index
+            self._look(waiting)
+        else:
+            self._refused(answer.id, answer.why, answer.leader)
+
+    def _refused(self, number: int, why: str, leader: str) -> None:
+        waiting = self._waiting.get(number)
+        if waiting is None:
+            return
+        if why.startswith(FINAL):
+            self._end(waiting, why)
+        elif leader and leader != self.entry.member and not self.leads:
+            self._try(waiting, leader)
+
+    def _look(self, waiting: _Waiting) -> None:
+        """Committed and applied here: what came of it is in the machine."""
+        if waiting.index and self.applied >= waiting.index:
+            result = self.machine.state.results.get(waiting.command.id)
+            self._end(waiting, "not found among what was agreed" if result is None else result)
+
+    def _end(self, waiting: _Waiting, why: str) -> None:
+        if self._waiting.pop(waiting.number, None) is not None:
+            waiting.done(why)
+
+    # --- for people ---
+
+    def status(self, brokers: list[str], left: set[str]) -> dict[str, Any]:
+        """Permits, drains and how far they are, and who keeps the log."""
+        now = self.loop.clock()
+        drains = []
+        if self.keeper is not None:
+            for name in sorted(self.machine.drained()):
+                waits = self.progress.waits_for(self.machine.state.permits[name], brokers, left, now)
+                drains.append({"name": name, "done": not waits, "waits_for": waits})
+        return {
+            **self.machine.status(int(time.time() * 1000)),
+            "member": self.entry.member,
+            "drains": drains,
+            "progress_at": "" if self.keeper is not None else f"keepers {', '.join(self.keepers)} know",
+            "keepers": list(self.keepers),
+            "leader": self.leader,
+            "role": "follows" if self.keeper is None else self.keeper.role,
+            "applied": self.applied,
+            "store": self.trouble or ("sound" if self.store is not None else "none"),
+        }
+
+    def close(self) -> None:
+        """Give back the store."""
+        self._closed = True
+        if self._timer is not None:
+            self._timer.cancel()
+        if self.store is not None:
+            self.store.close()
--- /dev/null
+++ b/quincepath/fleet/agreement/post.py
@@ -0,0 +1,66 @@
+"""Messages of the keepers' log as they travel: in an envelope, beside those of the view, by connections."""
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from quincepath.fleet.agreement.messages import Message
+from quincepath.fleet.messages import FRAME, Counter, Name, Rejected
+
+SCHEMA = 1
+OLDEST = 1
+
+
+class Report(msgspec.Struct, array_like=True, frozen=True, tag=20):
+    """What a broker has applied, and what it has out at holders that are to be drained, by name."""
+
+    applied: Counter
+    out: Annotated[dict[Name, Counter], Meta(max_length=1000)]
+
+
+Body = Message | Report
+
+
+class Post(msgspec.Struct, array_like=True, frozen=True):
+    """Around every message. ``epoch``: how often the speaker's store was opened; 0 without one."""
+
+    schema: Annotated[int, Meta(ge=0, le=1 << 16)]
+    least: Annotated[int, Meta(ge=0, le=1 << 16)]
+    fleet: Name
+    sender: Name
+    to: Name
+    epoch: Counter
+    body: msgspec.Raw
+
+
+_encoder = msgspec.msgpack.Encoder()
+_posts = msgspec.msgpack.Decoder(Post)
+_bodies: msgspec.msgpack.Decoder[Body] = msgspec.msgpack.Decoder(Body)
+
+
+def pack(fleet: str, sender: str, to: str, epoch: int, body: Body) -> bytes:
+    """One message, ready to go."""
+    return _encoder.encode(Post(SCHEMA, SCHEMA, fleet, sender, to, epoch, msgspec.Raw(_encoder.encode(body))))
+
+
+def unpack(data: bytes, fleet: str, to: str) -> tuple[Post, Body]:
+    """A message to this broker. Raises ``Rejected``, with the causes of the view's messages."""
+    if len(data) > FRAME:
+        raise Rejected("too large")
+    try:
+        post = _posts.decode(data)
+    except msgspec.MsgspecError:
+        raise Rejected("unreadable") from None
+    if post.schema < OLDEST:
+        raise Rejected("too old")
+    if post.least > SCHEMA:
+        raise Rejected("too new")
+    if post.fleet != fleet:
+        raise Rejected("wrong fleet")
+    if post.to != to:
+        raise Rejected("wrong name")
+    try:
+        return post, _bodies.decode(post.body)
+    except msgspec.MsgspecError:
+        raise Rejected("unknown kind") from None
--- a/quincepath/fleet/edge.py
+++ b/quincepath/fleet/edge.py
@@ -34,6 +34,20 @@
 CONNECTIONS = 256  # taken at once; the view hangs up on most of them sooner
 LINGER = 1_000_000_000  # ns that a line may take to send its last words
 BIND_TRIES = 16
+AGREED = 1 << 31  # in a message's length: it is of the keepers' log, not of the view
+WAITING_MOST = 256  # messages of the log that wait for a connection; more are lost, as on a bad way
+REDIAL = 250_000_000  # ns until a member that could not be reached is dialled again
+IDLE = 60_000_000_000  # ns until a connection for the log that carries nothing is closed
+
+
+class _Way:
+    """The connection by which messages of the log go out to one member."""
+
+    def __init__(self) -> None:
+        self.dial: Dial | None = None
+        self.stream: Stream | None = None
+        self.waiting: list[bytes] = []
+        self.not_before = 0
 
 
 class _Line:
@@ -45,6 +59,8 @@
         self.waiting: list[bytes] = []
         self.data = bytearray()
         self.ending = False
+        self.agreed = False
+        self.heard_at = 0
 
 
 class Edge:
@@ -63,6 +79,8 @@
         self.sent: Counter[str] = Counter()  # messages and bytes that went out, by kind
         self.unsent = 0  # datagrams that the system did not take
         self._lines: dict[int, _Line] = {}
+        self._ways: dict[str, _Way] = {}
+        self.on_agreed: Callable[[bytes], None] | None = None
         self._taken = 0
         self._timer: Timer | None = None
         self._closed = False
@@ -70,6 +88,16 @@
         self.udp.setblocking(False)
         loop.watch(self.udp, READ, self._readable)
         self.step([])
+        loop.call_in(IDLE, self._sweep)
+
+    def _sweep(self) -> None:
+        """Connections for the log whose other end has said nothing for long."""
+        if self._closed:
+            return
+        self.loop.call_in(IDLE, self._sweep)
+        for number, line in list(self._lines.items()):
+            if line.agreed and self.loop.now > line.heard_at + IDLE:
+                self._drop(number)
 
     def _bind(self, host: str, port: int) -> None:
         """One number for both; a free one is looked for where none is asked for."""
@@ -181,6 +209,7 @@
         inputs: list[Input] = []
         while len(line.data) >= HEAD:
             length = int.from_bytes(line.data[:HEAD])
+            agreed, length = bool(length & AGREED), length & ~AGREED
             if length > FRAME:
                 self.view.dropped["too large"] += 1
                 if line.stream is not None:
@@ -189,8 +218,17 @@
                 return
             if len(line.data) < HEAD + length:
                 break
-            inputs.append(Framed(number, bytes(line.data[HEAD : HEAD + length])))
+            message = bytes(line.data[HEAD : HEAD + length])
             del line.data[: HEAD + length]
+            if not agreed:
+                inputs.append(Framed(number, message))
+                continue
+            if not line.agreed:
+                line.agreed = True
+                inputs.append(Lost(number, "carries the keepers' log"))  # no exchange of the view's
+            line.heard_at = self.loop.now
+            if self.on_agreed is not None:
+                self.on_agreed(message)
         if inputs:
             self.step(inputs)
 
@@ -240,6 +278,43 @@
         if self._lines.pop(number, None) is not None:
             self.step([Lost(number, said)])
 
+    # --- the keepers' log ---
+
+    def tell(self, to: str, data: bytes) -> None:
+        """Send a message of the log; it may be lost, like any."""
+        way = self._ways.setdefault(to, _Way())
+        chunk = (len(data) | AGREED).to_bytes(HEAD) + data
+        if self._closed or to not in self.places or len(data) > FRAME:
+            return
+        self.sent["frames"] += 1
+        self.sent["bytes"] += len(chunk)
+        if way.stream is not None and not way.stream.closed:
+            if way.stream.pending < FRAME * 4:
+                way.stream.write(chunk)
+            return
+        if len(way.waiting) < WAITING_MOST:
+            way.waiting.append(chunk)
+        if way.dial is None and self.loop.now >= way.not_before:
+            self._dial_way(to, way)
+
+    def _dial_way(self, to: str, way: _Way) -> None:
+        def opened(sock: socket.socket) -> None:
+            way.dial = None
+            way.stream = Stream(self.loop, sock, lambda data: None, lost)
+            for chunk in way.waiting:
+                way.stream.write(chunk)
+            way.waiting.clear()
+
+        def failed(_: int) -> None:
+            way.dial = None
+            way.waiting.clear()
+            way.not_before = self.loop.now + REDIAL
+
+        def lost(_: str) -> None:
+            way.stream = None
+
+        way.dial = Dial(self.loop, self.places[to], self.view.settings.exchange_time, opened, failed)
+
     def close(self) -> None:
         """Give back all sockets."""
         self._closed = True
@@ -247,6 +322,11 @@
             self._timer.cancel()
         for number in list(self._lines):
             self._drop(number)
+        for way in self._ways.values():
+            if way.dial is not None:
+                way.dial.close()
+            if way.stream is not None:
+                way.stream.close()
         self.listener.close()
         self.loop.watch(self.udp, 0, self._readable)
         self.udp.close()
--- a/quincepath/fleet/permits.py
+++ b/quincepath/fleet/permits.py
@@ -13,12 +13,13 @@
 
 from quincepath.fleet.agreement.entries import Entry
 from quincepath.fleet.budget import Check, Reason, refusals
-from quincepath.fleet.messages import Counter, Name
+from quincepath.fleet.messages import Name
 
 HISTORY_MOST = 2000
 IDS_MOST = 4000  # commands remembered, so that a repeat does nothing twice
 SCHEMA = 1
 DRAIN = "drain"  # the purpose of a permit by which all brokers drain its holder
+Millis = Annotated[int, Meta(ge=0, le=1 << 53)]  # of a wall clock, since the epoch
 Text = Annotated[str, Meta(max_length=400)]
 
 
@@ -31,10 +32,10 @@
 
     id: Text
     by: Text
-    at: Counter
+    at: Millis
     name: Name
     purpose: Text
-    overdue_at: Counter
+    overdue_at: Millis
     checks: tuple[Check, ...] = ()
     out: dict[str, str] = {}
 
@@ -44,7 +45,7 @@
 
     id: Text
     by: Text
-    at: Counter
+    at: Millis
     name: Name
 
 
@@ -53,7 +54,7 @@
 
     id: Text
     by: Text
-    at: Counter
+    at: Millis
     name: Name
 
 
@@ -62,7 +63,7 @@
 
     id: Text
     by: Text
-    at: Counter
+    at: Millis
     name: Name
     why: Text
 
@@ -72,7 +73,7 @@
 
     id: Text
     by: Text
-    at: Counter
+    at: Millis
     why: Text
 
 
@@ -81,7 +82,7 @@
 
     id: Text
     by: Text
-    at: Counter
+    at: Millis
 
 
 Command = Grant | Begun | Back | Close | Halt | Resume
--- a/quincepath/fleet/service.py
+++ b/quincepath/fleet/service.py
@@ -5,24 +5,48 @@
 import os
 import time
 from collections import Counter as Counts
+from collections.abc import Callable
 from dataclasses import dataclass
 from importlib.metadata import PackageNotFoundError, version
-from typing import Any
+from pathlib import Path
+from typing import TYPE_CHECKING, Annotated, Any
 
+import msgspec
+from msgspec import Meta
 from prometheus_client import CollectorRegistry, Counter, Gauge
 
 from quincepath.config.schema import Config, FleetEntry
+from quincepath.fleet.budget import Limit, Limits, Reason, Unit, checks
 from quincepath.fleet.edge import Edge
 from quincepath.fleet.pages import explain_page, history_page, view_page
+from quincepath.fleet.permits import DRAIN, Back, Close, Command, Grant, Halt, Resume
 from quincepath.fleet.view.core import Drain, Leave, Told, View
 from quincepath.fleet.view.facts import Change, Phase, ViewSettings
+from quincepath.membership.roster import Fact
 from quincepath.net.loop import Loop
+from quincepath.net.server import Exchange
+
+if TYPE_CHECKING:
+    from quincepath.fleet.agreed import Agreed
 
 OWN = ("number", "seed", "zone")  # what may differ from broker to broker within one configuration
 LOOK = 1_000_000_000  # ns between looks at the figures
 GRAVE = ("dead", "suspect")
 
 
+JSON = {"Content-Type": "application/json"}
+ORDERS = ("drain", "undrain", "close", "halt", "resume")
+
+
+class Order(msgspec.Struct, forbid_unknown_fields=True):
+    """The body of a command. ``id`` is the asker's: the same one again does nothing twice."""
+
+    id: Annotated[str, Meta(min_length=1, max_length=100)]
+    by: Annotated[str, Meta(min_length=1, max_length=100)]
+    names: Annotated[list[str], Meta(max_length=64)] = []
+    why: Annotated[str, Meta(max_length=200)] = ""
+
+
 @dataclass(slots=True, frozen=True)
 class Page:
     """An answer on the metrics listener."""
@@ -67,9 +91,22 @@
     """This broker as a member: ``drain``, ``page``, ``close``."""
 
     def __init__(
-        self, config: Config, entry: FleetEntry, loop: Loop, log: Any, registry: CollectorRegistry
+        self,
+        config: Config,
+        entry: FleetEntry,
+        loop: Loop,
+        log: Any,
+        registry: CollectorRegistry,
+        base: Path,
     ) -> None:
-        self.loop, self.configured = loop, config.broker.brokers
+        self.loop, self.entry, self.configured = loop, entry, config.broker.brokers
+        self.ramp = config.rules.ramp_time
+        self.on_drained: Callable[[frozenset[str]], None] = lambda names: None
+        self.out_at: Callable[[], dict[str, int]] = dict
+        self.facts: Callable[[], list[Fact]] = list
+        self.zone_name: Callable[[int], str] = str
+        self.sets = {entry.name: entry.set or entry.name for entry in config.shards.map}
+        self._drained: frozenset[str] = frozenset()
         self.log = log.bind(member=entry.member)
         self.members = Gauge(
             "quincepath_fleet_members", "Members by what is believed of them", ["phase"], registry=registry
@@ -99,6 +136,15 @@
         self._closed = False
         self._shown: tuple[Counts[str], Counts[str]] = (Counts(), Counts())  # what the metrics have by now
         self.edge = Edge(loop, self.view, places, entry.host, entry.port, self._told)
+        self.agreed: Agreed | None = None
+        if entry.keepers:
+            from quincepath.fleet import agreed  # with it the store, which only keepers need
+
+            hooks = agreed.Hooks(
+                self.edge.tell, self._judge, self._applied, lambda: self.out_at(), self._drop
+            )
+            self.agreed = agreed.Agreed(loop, entry, base, seed, hooks, self.log)
+            self.edge.on_agreed = self.agreed.receive
         self._look()
 
     @property
@@ -146,14 +192,130 @@
             )  # fmt: skip
         self._differs = differs
 
-    def page(self, path: str) -> Page | None:
-        """The answer to a path under ``/fleet/``; None for any other."""
-        if not path.startswith("/fleet/"):
-            return None
+    # --- what is agreed ---
+
+    def _drop(self, cause: str) -> None:
+        self.view.dropped[cause] += 1
+
+    def _applied(self) -> None:
+        """Something was agreed; drains are laid over the list at once."""
+        assert self.agreed is not None
+        names = frozenset(self.agreed.machine.drained())
+        if names != self._drained:
+            for name in sorted(names ^ self._drained):
+                said = "drain agreed" if name in names else "drain is over"
+                self.log.info(f"fleet: {said}", node=name, index=self.agreed.applied)
+            self._drained = names
+            self.on_drained(names)
+
+    def units(self) -> dict[str, Unit]:
+        """All brokers and holders that this broker knows of."""
+        brokers = [self.entry.member, *(peer.name for peer in self.entry.peers)]
+        found = {name: Unit(name, "broker") for name in brokers}
+        for fact in self.facts():
+            sets = tuple(sorted({self.sets[shard] for shard in fact.shards}))
+            found[fact.name] = Unit(fact.name, "holder", self.zone_name(fact.zone), sets)
+        return found
+
+    def believed(self) -> dict[str, Reason]:
+        """Who is out by this broker's belief, and why."""
+        phases = {"dead": Reason.DEAD, "suspect": Reason.SUSPECT, "left": Reason.LEFT}
+        found = {}
+        for belief in self.view.table.all():
+            reason = phases.get(belief.phase.name.lower())
+            if belief.draining:
+                reason = reason or Reason.DRAINING
+            if reason is not None:
+                found[belief.name] = reason
+        now = self.loop.clock()
+        for fact in self.facts():
+            if fact.phase.name != "READY" and fact.name not in self._drained:
+                found[fact.name] = Reason.DRAINING
+            elif fact.since and now < fact.since + self.ramp:
+                found[fact.name] = Reason.COLD
+        return found
+
+    def _judge(self, command: Command) -> tuple[Command, str]:
+        """The leader's word: its limits and beliefs go into a grant; while unsettled it grants none."""
+        if not isinstance(command, Grant):
+            return command, ""
+        reasons = self.view.unsettled()
+        if reasons:
+            return command, f"the view is not settled: {'; '.join(reasons)}"
+        units = self.units()
+        if command.name not in units:
+            return command, f"{command.name} is none of the configured brokers and holders"
+        limits = {
+            kind: Limits(Limit(**one.total.model_dump()), Limit(**one.zone.model_dump()), one.ready_least)
+            for kind, one in (("broker", self.entry.limits.brokers), ("holder", self.entry.limits.holders))
+        }
+        out = {name: reason.name for name, reason in self.believed().items() if name != command.name}
+        return msgspec.structs.replace(command, checks=checks(command.name, units, limits), out=out), ""
+
+    def request(self, exchange: Exchange) -> bool:
+        """Answer a request under ``/fleet/``; false for any other path."""
+        asked = exchange.request
+        if not asked.path.startswith("/fleet/"):
+            return False
+        if asked.method == "POST":
+            self._order(exchange, asked.path.removeprefix("/fleet/"), asked.body)
+            return True
+        page = self.page(asked.path)
+        exchange.respond(page.status, JSON, page.body)
+        return True
+
+    def _order(self, exchange: Exchange, what: str, body: bytes) -> None:
+        """A command of people: ``drain``, ``undrain``, ``close``, ``halt`` or ``resume``, by JSON."""
+        try:
+            order = msgspec.json.decode(body, type=Order)
+            if what not in ORDERS:
+                raise ValueError(f"{what!r}: expected one of {', '.join(ORDERS)}")
+            if not order.names and what not in ("halt", "resume"):
+                raise ValueError("names: expected at least one")
+        except (msgspec.MsgspecError, ValueError) as error:
+            exchange.respond(400, JSON, json.dumps({"error": str(error)}).encode())
+            return
+        if self.agreed is None:
+            said = {"error": "this broker's fleet: section names no keepers: nothing is agreed"}
+            exchange.respond(409, JSON, json.dumps(said).encode())
+            return
+        names = order.names or [""]
+        results: dict[str, str] = {}
+
+        def done(name: str, why: str) -> None:
+            results[name] = why
+            if len(results) == len(names):
+                status = 409 if any(results.values()) else 200
+                exchange.respond(status, JSON, json.dumps({"results": results}).encode())
+
+        for name in names:
+            self.agreed.command(self._command(what, order, name), lambda why, n=name: done(n, why))  # type: ignore[misc]
+
+    def _command(self, what: str, order: Order, name: str) -> Command:
+        now, id = int(time.time() * 1000), f"{order.id} {what} {name}"
+        match what:
+            case "drain":
+                return Grant(id, order.by, now, name, DRAIN, now + self.entry.overdue // 1_000_000)
+            case "undrain":
+                return Back(id, order.by, now, name)
+            case "close":
+                return Close(id, order.by, now, name, order.why)
+            case "halt":
+                return Halt(id, order.by, now, order.why)
+        return Resume(id, order.by, now)
+
+    def page(self, path: str) -> Page:
+        """The answer to a path under ``/fleet/``."""
         now, what = self.loop.clock(), path.removeprefix("/fleet/")
         self.edge.step([])
         if what == "view":
             found: Any = view_page(self.view, now, self.configured)
+        elif what == "status" and self.agreed is not None:
+            brokers = [self.entry.member, *(name for name in self.view.settings.peers)]
+            left = {belief.name for belief in self.view.table.all() if belief.phase is Phase.LEFT}
+            found = self.agreed.status(brokers, left)
+        elif what == "agreed" and self.agreed is not None:
+            found = [msgspec.to_builtins(line) for line in self.agreed.machine.state.history]
         elif what == "history":
             found = history_page(self.view, now, time.time())
         elif what.startswith("explain/"):
@@ -162,6 +324,8 @@
             found = None
         if found is None:
             said = "expected /fleet/view, /fleet/history or /fleet/explain/ and the name of a member"
+            if self.agreed is not None:
+                said += ", /fleet/status or /fleet/agreed"
             return Page(404, json.dumps({"error": said, "path": path}).encode())
         return Page(200, json.dumps(found).encode())
 
@@ -173,5 +337,7 @@
         """Say goodbye and give back the sockets."""
         if not self._closed:
             self._closed = True
+            if self.agreed is not None:
+                self.agreed.close()
             self.edge.step([Leave()])
             self.edge.close()
--- a/quincepath/membership/source.py
+++ b/quincepath/membership/source.py
@@ -44,6 +44,9 @@
         self._seen: tuple[int, int, int] | None = None
         self._zones = zones(config, [])
         self.errors = 0
+        self.drained: frozenset[str] = (
+            frozenset()
+        )  # names that the fleet agreed to drain, whatever the list says
 
     def poll(self, force: bool = False) -> tuple[Members | None, list[Change], str]:
         """News, what changed, and an error text where the file could not be taken."""
@@ -72,10 +75,17 @@
         news, changes = self.state.take([self._fact(holder) for holder in roster.holders])
         return news, changes, ""
 
+    def zone_name(self, position: int) -> str:
+        """The name of a zone that facts give by its position."""
+        return next((name for name, at in self._zones.items() if at == position), "")
+
     def _fact(self, holder: Holder) -> Fact:
         since = 0
         if holder.started is not None:
             since = max(self._clock() - int((self._wall() - holder.started) * 1e9), 1)
+        phase = PHASES[holder.phase]
+        if phase is Phase.READY and holder.name in self.drained:
+            phase = Phase.DRAINING
         cell = self.map.cell_of(holder.shards)
         if cell is None:
             raise ValueError(f"holder {holder.name!r}: no set has shards {holder.shards}")
@@ -86,6 +96,6 @@
             self._zones[holder.zone],
             cell,
             tuple(holder.shards),
-            PHASES[holder.phase],
+            phase,
             since,
         )
