--- a/quincepath/fleet/edge.py
+++ b/quincepath/fleet/edge.py
@@ -31,6 +31,7 @@
 HEAD = 4
 DATAGRAMS = 64  # read in one go; the rest waits for the next turn
 LONGEST = 65_535
+_ROOM = memoryview(bytearray(LONGEST))  # where datagrams are read to; see net/stream.py
 CONNECTIONS = 256  # taken at once; the view hangs up on most of them sooner
 LINGER = 1_000_000_000  # ns that a line may take to send its last words
 BIND_TRIES = 16
@@ -160,7 +161,7 @@
         inputs: list[Input] = []
         for _ in range(DATAGRAMS):
             try:
-                inputs.append(Heard(self.udp.recv(LONGEST)))
+                inputs.append(Heard(bytes(_ROOM[: self.udp.recv_into(_ROOM)])))
             except (BlockingIOError, InterruptedError):
                 break
             except OSError:  # an error of an earlier datagram of ours, told here
