--- /dev/null
+++ b/tests/test_fleet_edge.py
@@ -0,0 +1,118 @@
+"""Sockets of the fleet: what comes in pieces, too large or from nobody, and members that are not there."""
+
+import socket
+from collections.abc import Iterator
+
+import pytest
+
+from quincepath.fleet.edge import HEAD, WAITING_MOST, Edge
+from quincepath.fleet.messages import FRAME, Compare, pack
+from quincepath.fleet.view.core import View
+from quincepath.fleet.view.facts import Phase, ViewSettings
+from quincepath.net.loop import Loop
+from tests.test_fleet_processes import free_ports
+
+LONGEST = 20.0  # seconds
+
+
+class Pair:
+    """Two members on one loop, in real time."""
+
+    def __init__(self) -> None:
+        self.loop = Loop()
+        self.ports = free_ports(2)
+        self.places = {f"b{n}": ("127.0.0.1", port) for n, port in enumerate(self.ports)}
+        self.edges: dict[str, Edge] = {}
+        self.agreed: list[bytes] = []
+
+    def start(self, name: str) -> Edge:
+        other = "b1" if name == "b0" else "b0"
+        view = View(ViewSettings("lab", name, (other,)), 5 + int(name[1:]), 1, self.loop.clock())
+        port = self.places[name][1]
+        edge = self.edges[name] = Edge(self.loop, view, self.places, "127.0.0.1", port, lambda told: None)
+        edge.on_agreed = self.agreed.append
+        return edge
+
+    def until(self, true: object) -> None:
+        assert callable(true) and self.loop.run_until(true, LONGEST), "it did not come about in time"
+
+
+@pytest.fixture
+def pair() -> Iterator[Pair]:
+    world = Pair()
+    yield world
+    for edge in world.edges.values():
+        edge.close()
+    world.loop.close()
+
+
+def test_two_members_find_each_other_over_sockets(pair: Pair) -> None:
+    one, two = pair.start("b0"), pair.start("b1")
+    pair.until(lambda: one.view.own.phase is two.view.own.phase is Phase.ALIVE)
+    pair.until(lambda: one.view.table.digest == two.view.table.digest)
+    assert {belief.name for belief in one.view.table.all()} == {"b0", "b1"}
+
+
+def test_what_is_no_message_is_dropped_and_its_connection_closed(pair: Pair) -> None:
+    one = pair.start("b0")
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.sendto(b"nonsense", pair.places["b0"])
+        pair.until(lambda: one.view.dropped["unreadable"] == 1)
+    for first, cause in (
+        ((FRAME + 1).to_bytes(HEAD), "too large"),
+        ((3).to_bytes(HEAD) + b"abc", "unreadable"),
+    ):
+        before = one.view.dropped[cause]
+        with socket.create_connection(pair.places["b0"]) as sock:
+            sock.setblocking(False)
+            sock.sendall(first)
+            pair.until(lambda c=cause, n=before: one.view.dropped[c] == n + 1)
+
+            def closed(sock: socket.socket = sock) -> bool:
+                try:
+                    return sock.recv(10) == b""
+                except BlockingIOError:
+                    return False
+
+            pair.until(closed)
+
+
+def test_a_message_that_comes_byte_by_byte_is_one_message(pair: Pair) -> None:
+    pair.start("b0")
+    view = View(ViewSettings("lab", "b1", ("b0",)), 9, 1, pair.loop.clock())
+    me = view.own.belief(0).about(0)
+    data = pack("lab", "b0", me, 1, 1, Compare())
+    with socket.create_connection(pair.places["b0"]) as sock:
+        for byte in len(data).to_bytes(HEAD) + data:
+            sock.sendall(bytes([byte]))
+            pair.loop.turn(0.001)
+        sock.setblocking(False)
+        answer = bytearray()
+
+        def answered() -> bool:
+            try:
+                answer.extend(sock.recv(65536))
+            except BlockingIOError:
+                pass
+            return len(answer) > HEAD
+
+        pair.until(answered)
+        assert pair.edges["b0"].view.dropped == {}
+
+
+def test_messages_of_the_log_wait_for_a_connection_and_are_lost_without_harm(pair: Pair) -> None:
+    one = pair.start("b0")
+    for number in range(WAITING_MOST + 10):
+        one.tell("b1", b"%d" % number)
+    pair.loop.run_until(lambda: False, 0.6)  # nobody is there; it is dialled, refused, and left for a while
+    assert pair.agreed == []
+    pair.start("b1")
+    for _ in range(200):
+        one.tell("b1", b"now")
+        if pair.loop.run_until(lambda: b"now" in pair.agreed, 0.05):
+            break
+    assert b"now" in pair.agreed and len(pair.agreed) <= WAITING_MOST + 201
+    one.tell("nobody", b"x")
+    one.tell("b1", b"x" * (FRAME + 1))
+    one.tell("b1", b"last")
+    pair.until(lambda: pair.agreed[-1] == b"last")
