--- a/tests/test_fleet_drains.py
+++ b/tests/test_fleet_drains.py
@@ -51,8 +51,12 @@
             with (folder / f"{name}.yaml").open("w") as file:
                 YAML(typ="safe").dump(values, file)
             self.start(name)
-        for name in names:
-            self.up(name)
+        try:
+            for name in names:
+                self.up(name)
+        except BaseException:
+            self.stop()  # no child is left where one does not come up
+            raise
 
     def start(self, name: str) -> None:
         self.children[name].start(["serve", "-c", str(self.folder / f"{name}.yaml")])
