One way to close a client connection: half-close, drain, then close, as a table

A look that found nothing unread, then close: a request that arrived between the two, or right after, was answered by a reset. At fault: `net/server.py` `Peer._cut` (used by `expire`, `drain`, room, unused for longest) called `Stream.close` straight away, and `expire` did so at the linger bound with bytes unread. Told from resets of other causes by a hook on the broker's own shutdown/close: the client's bytes are sent in that very moment, and SO_ERROR of the client shows the reset also where it comes behind the end.

Now every end goes through `net/closing.py` (pure: states, events, what may follow what): the writing side is shut down first, what still comes is read and dropped and never served, and the socket is closed at the client's end or at a bound of time, bytes or room, with a last read before it. `Peer.cut`/`_cut` are gone. - The time to linger runs from the half-close; before, from when the answer was worded, so that a slow reader of a big answer was broken off in the moment of its last byte. - Bytes are read and dropped also while the last answer leaves. - Half-closed connections hold descriptors: they are counted, and at the listener's bound the oldest goes (`HttpServer._held`), so that a crowd that never ends its side does not make the listener rest. - At SIGTERM the process waits for half-closed clients, half requests get their 408 at the end of all queries, and it leaves 75 ms after that end whoever still lingers: 75 ms before the earliest kill.

The listener's end: a call to the selector lay between the last accept and the close, and at the bound of connections who waited was reset. It is unwatched first, then all are accepted, over the bound as well, and the close follows the accept that finds nobody. Tried and left: shutdown(SHUT_RD) on the listening socket resets all who wait, and accept then fails (a probe: EINVAL, ECONNRESET at the client).

In tests/test_platform.py the test on freed connections closed node connections only as far as the nodes had accepted them; it waits for that now.

--- a/quincepath/net/server.py
+++ b/quincepath/net/server.py
@@ -3,6 +3,7 @@
 A pipelined request waits in the reader until the one before it is answered; it is *taken* then, and its
 client's time starts then, because an answer could not pass the earlier one anyway. While a request is open
 the connection is still read, so that a client that leaves is noticed; what it sends ahead is bounded.
+How a connection ends is said in net/closing.py.
 """
 
 import socket
@@ -10,6 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from quincepath.net.closing import State
 from quincepath.net.http1 import HttpError, Limits, Request, RequestReader, response_head
 from quincepath.net.loop import Loop
 from quincepath.net.stream import Listener, Stream
@@ -18,6 +20,7 @@
 LINGER_MOST = 1024 * 1024  # bytes read and dropped from a client that has its last answer
 JOINED = 16 * 1024  # bytes of a body that are copied behind the head
 AHEAD = 16  # pipelined requests read ahead at most; then the connection is not read until they are served
+GREETING = 250_000_000  # ns that a new connection has to begin its request while the server drains
 TEXT = {"Content-Type": "text/plain; charset=utf-8"}
 
 
@@ -70,13 +73,17 @@
         self.current: Exchange | None = None
         self.since = server.loop.now  # of the state now: idle, or a request being read
         self.arriving = False
-        self.closing = False
         self.counted = True  # among the connections of its address
         self.asked = False  # some request of it was whole
         self.valued = False  # the handler's mark: it has brought work worth keeping it for
         self.error: HttpError | None = None
         self.stream = Stream(server.loop, sock, self._data, self._closed)
 
+    @property
+    def closing(self) -> bool:
+        """Whether its last answer was given, or it is told to go: nothing of it is taken any more."""
+        return self.stream.state is not State.OPEN
+
     def _data(self, data: bytes) -> None:
         if not self.arriving:
             self.arriving = True
@@ -96,7 +103,7 @@
 
     def _next(self) -> None:
         """Take the next whole request, if nothing is open; a protocol error is answered in its turn."""
-        while self.current is None and not self.closing and not self.stream.closed:
+        while self.current is None and not self.closing:
             if self.reader.done:
                 if len(self.reader.done) == AHEAD and self.error is None:
                     self.stream.resume()
@@ -122,17 +129,21 @@
             self.server.loop.call_at(self.server.loop.now, self._next)  # not from within the handler
 
     def _send(self, status: int, headers: dict[str, str], body: bytes, keep_alive: bool) -> None:
-        if not keep_alive:
-            self.closing, self.since = True, self.server.loop.now
-            self.server.uncount(self)
-            self.stream.pause()
         head = response_head(status, headers, len(body), keep_alive)
         if len(body) < JOINED:
             self.stream.write(head + body)  # one call to the system
         else:
             self.stream.write(head, body)
         if not keep_alive:
-            self.stream.finish(LINGER_MOST, lambda: self._closed("answered and closed"))
+            self._finish()
+
+    def _finish(self) -> None:
+        """The one way in which this side ends a connection."""
+        if not self.closing:
+            self.since = self.server.loop.now
+            self.server.uncount(self)
+            self.server.lingering[self] = None
+            self.stream.finish(LINGER_MOST, lambda: self._closed("finished"))
 
     @property
     def busy(self) -> bool:
@@ -159,36 +170,52 @@
         self._send(503, {**TEXT, "Retry-After": "1"}, why.encode() + b"\n", keep_alive=False)
 
     def expire(self, now: int, times: Times) -> None:
-        """Close or answer what is past its time."""
+        """End or answer what is past its time."""
         if self.stream.pending:
             if now > self.stream.progress_at + times.write:
-                self._cut("slow_readers")
+                self.abandon("slow_readers")
         elif self.closing:
-            if now > self.since + times.linger:
-                self._cut("lingered")
-        elif self.current is None and not self.asked and times.first:
-            if now > self.since + times.first:
-                self._late()
-        elif self.current is None and self.arriving:
-            if now > self.since + times.request:
+            if now > self.stream.state_at + times.linger:  # since the half-close, not since the answer
+                self.abandon("lingered")
+        elif self.current is None:
+            self._expire_idle(now, times)
+
+    def _expire_idle(self, now: int, times: Times) -> None:
+        first = not self.asked and times.first > 0
+        if first or self.arriving:
+            late = now - self.since - (times.first if first else times.request)
+            # A whole request may lie unread: it is read in the next turn. Once more, not for ever.
+            if late > SWEEP or late > 0 and self.stream.quiet():
                 self._late()
-        elif self.current is None and (now > self.since + times.idle or self.server.draining):
-            if self.stream.quiet():  # else a whole request may lie unread: it is read in this turn
-                self._cut("idle_closed")
+            elif self.server.draining and not self.arriving and now > self.since + GREETING:
+                if self.stream.quiet():
+                    self.end("idle_closed")
+        elif (now > self.since + times.idle or self.server.draining) and self.stream.quiet():
+            self.end("idle_closed")
 
     def _late(self) -> None:
         self.server.counts["slow_senders"] += 1
         self._send(408, TEXT, b"the request did not arrive in time\n", keep_alive=False)
 
-    def cut(self, count: str) -> None:
-        """Close without an answer; counted by name."""
-        self._cut(count)
+    def end(self, count: str) -> None:
+        """Half-close without an answer; counted by name. What still comes is dropped, not served."""
+        self.server.counts[count] += 1
+        self._finish()
 
-    def _cut(self, count: str) -> None:
+    def abandon(self, count: str) -> None:
+        """Close now: a bound is over; counted by name."""
         self.server.counts[count] += 1
-        self.stream.close()
+        self.stream.abandon()
         self._closed(count)
 
+    def break_off(self) -> None:
+        """The last moment of the process is near: who is not served now is not served any more."""
+        if self.current is None and not self.closing:
+            if self.arriving:
+                self._late()
+            else:
+                self.end("idle_closed")
+
 
 class HttpServer:
     """A listener and its connections. ``handler(exchange)`` may answer at once or later, once."""
@@ -214,6 +241,8 @@
         self.by_address: Counter[str] = Counter()
         self.loop, self.handler, self.limits, self.times = loop, handler, limits, times
         self.peers: dict[Peer, None] = {}
+        self.lingering: dict[Peer, None] = {}  # of these: who has our last word, the oldest first
+        self.most = most
         self.counts: Counter[str] = Counter()
         self.draining = False  # idle connections are closed
 
@@ -221,10 +250,19 @@
             self.counts["accept_rests"] += 1
             on_rest(why)
 
-        self.listener = Listener(loop, host, port, self._accept, lambda: len(self.peers), most, rest)
+        self.listener = Listener(loop, host, port, self._accept, self._held, most, rest)
         self.port = self.listener.port
         self._sweep()
 
+    def _held(self) -> int:
+        """Connections that hold a descriptor. At the bound the oldest that lingers goes for a new one.
+
+        Guards against a crowd that does not answer our half-close and thereby keeps the listener resting.
+        """
+        while len(self.peers) >= self.most and self.lingering:
+            next(iter(self.lingering)).abandon("lingered_out")
+        return len(self.peers)
+
     def _accept(self, sock: socket.socket) -> None:
         self.counts["accepted"] += 1
         peer = Peer(self, sock)
@@ -241,6 +279,7 @@
         """A connection is closed."""
         if peer in self.peers:
             del self.peers[peer]
+            self.lingering.pop(peer, None)
             self.uncount(peer)
 
     def uncount(self, peer: Peer) -> None:
@@ -268,9 +307,15 @@
         for peer in list(self.peers):
             peer.expire(self.loop.now, self.times)
 
+    def break_off(self) -> None:
+        """Also requests that are not whole are not waited for any more."""
+        for peer in list(self.peers):
+            peer.break_off()
+
     def close(self) -> None:
         """Close all at once."""
         self.listener.close()
         for peer in list(self.peers):
-            peer.stream.close()
+            peer.stream.abandon()
         self.peers.clear()
+        self.lingering.clear()
--- a/quincepath/net/stream.py
+++ b/quincepath/net/stream.py
@@ -6,6 +6,7 @@
 from collections import deque
 from collections.abc import Callable
 
+from quincepath.net.closing import Event, State, drops, follow
 from quincepath.net.loop import READ, WRITE, Loop
 
 CHUNK = 256 * 1024  # bytes read in one turn from one socket: a fast sender must not starve the others
@@ -13,6 +14,7 @@
 # for ever: what came lies at its start for a while, and the next piece has to go behind it.
 _ROOM = memoryview(bytearray(CHUNK))
 BACKLOG = 1024  # connections that the system holds until they are accepted
+LAST_READS = 8  # reads before a close at a bound: 2 MiB, more than a receive buffer commonly holds
 RESERVE_PAUSE = 100_000_000  # ns that a listener rests when accepting fails for want of descriptors
 
 
@@ -25,6 +27,7 @@
 
     Writes go out at once as far as the kernel takes them; the rest waits in ``pending`` bytes.
     ``progress_at`` is the last time (ns) at which the peer took bytes: for a slow reader's time-out.
+    ``state`` says how far its end is (net/closing.py), ``state_at`` since when.
     """
 
     def __init__(
@@ -40,10 +43,10 @@
         self._out: deque[memoryview] = deque()
         self.pending = 0
         self.unsent = 0  # bytes that the system had not taken when it was closed
-        self.progress_at = loop.now
-        self.closed = False
+        self.progress_at = self.state_at = loop.now
+        self.state = State.OPEN
         self._reading = True
-        self._finishing: Callable[[], None] | None = None
+        self._on_finished: Callable[[], None] | None = None
         self._discard = 0
         sock.setblocking(False)
         if sock.family in (socket.AF_INET, socket.AF_INET6):
@@ -51,9 +54,14 @@
         self._mask = READ
         loop.watch(sock, READ, self._ready)
 
+    @property
+    def closed(self) -> bool:
+        """Whether the socket was given back."""
+        return self.state is State.CLOSED
+
     def write(self, *chunks: bytes) -> None:
-        """Send in order; nothing happens on a closed stream."""
-        if self.closed:
+        """Send in order; nothing happens once the last was said."""
+        if self.state is not State.OPEN:
             return
         if not self._out:
             self.progress_at = self.loop.now
@@ -73,52 +81,82 @@
         self._reading = True
         self._rewatch()
 
-    def finish(self, most: int, on_done: Callable[[], None]) -> None:
-        """Say no more: what is written goes out, then the end of the stream; ``on_done`` when all is over.
+    def finish(self, most: int, on_finished: Callable[[], None]) -> None:
+        """Say no more: what is written goes out, then the end of the stream; then ``on_finished``.
 
-        Guards against a reset that destroys the answer: closing with unread bytes sends one. What the peer
-        still sends, up to ``most`` bytes, is read and dropped; then, or on any error, the socket is closed.
-        The caller bounds the time.
+        What the peer still sends, up to ``most`` bytes, is read and dropped. The caller bounds the time, and
+        calls ``abandon`` when it is over.
         """
-        if self.closed:
-            on_done()
+        if self.state is not State.OPEN:
+            if self.closed:
+                on_finished()
             return
-        self._finishing, self._discard = on_done, most
+        self._on_finished, self._discard = on_finished, most
+        self._move(Event.FINISH)
         if not self._out:
-            self._shut()
+            self._move(Event.WRITTEN)
 
-    def _shut(self) -> None:
+    def abandon(self) -> None:
+        """The bound is over: close now, with nothing unread as far as that can be had."""
+        self._move(Event.LOST)
+
+    def _move(self, event: Event) -> None:
+        """Carry out what the table says."""
+        state = follow(self.state, event)
+        if state is self.state:
+            return
+        if state is State.CLOSED:
+            if event is not Event.PEER_END:
+                self._drop_unread()
+            done, self._on_finished = self._on_finished, None
+            self.close()
+            if done is not None:
+                done()
+            return
+        self.state, self.state_at = state, self.loop.now
+        if state is State.HALF_CLOSED:
+            try:
+                self.sock.shutdown(socket.SHUT_WR)
+            except OSError:  # it was reset
+                self._move(Event.LOST)
+                return
+        self._reading = drops(state)
+        self._rewatch()
+
+    def _drop_unread(self) -> None:
+        """Read what has come, so that the close does not reset; a sender without end gets its reset."""
         try:
-            self.sock.shutdown(socket.SHUT_WR)
+            for _ in range(LAST_READS):
+                if not self.sock.recv_into(_ROOM):
+                    return
         except OSError:
-            self._end_finish()
             return
-        self.resume()
-
-    def _end_finish(self) -> None:
-        done, self._finishing = self._finishing, None
-        self.close()
-        if done is not None:
-            done()
 
     def quiet(self) -> bool:
-        """Whether nothing that the peer sent lies unread."""
+        """Whether nothing that the peer sent lies unread. An error or the end is nothing to be read."""
         try:
             return not self.sock.recv(1, socket.MSG_PEEK)
-        except (BlockingIOError, InterruptedError):
+        except OSError:
             return True
+
+    def gone(self) -> bool:
+        """Whether the peer's end, or a reset, is what would be read next."""
+        try:
+            return not self.sock.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return False
         except OSError:
             return True
 
     def close(self, reset: bool = False) -> None:
-        """Close without a word to ``on_close``; ``reset`` drops what is buffered and sends RST."""
+        """Close at once without a word to ``on_close``; ``reset`` drops what is buffered and sends RST."""
         if self.closed:
             return
-        self.closed = True
+        self.state, self.state_at = State.CLOSED, self.loop.now
         self._out.clear()
         self.unsent, self.pending = self.pending, 0
         # Whoever holds this stream is held by these: cut, so that both go at once and not at some collection.
-        self._on_data, self._on_close, self._on_drained, self._finishing = _ignore, _ignore, None, None
+        self._on_data, self._on_close, self._on_drained, self._on_finished = _ignore, _ignore, None, None
         self.loop.watch(self.sock, 0, self._ready)
         if reset:
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
@@ -137,18 +175,20 @@
             self._flush()
         if mask & READ and not self.closed and self._reading:
             try:
-                data = bytes(_ROOM[: self.sock.recv_into(_ROOM)])
+                size = self.sock.recv_into(_ROOM)
             except (BlockingIOError, InterruptedError):
                 return
             except OSError as error:
                 self._lost(error.strerror or str(error))
                 return
-            if self._finishing is not None:
-                self._discard -= len(data)
-                if not data or self._discard < 0:
-                    self._end_finish()
-            elif data:
-                self._on_data(data)
+            if drops(self.state):
+                self._discard -= size
+                if not size:
+                    self._move(Event.PEER_END)
+                elif self._discard < 0:
+                    self._move(Event.LOST)
+            elif size:
+                self._on_data(bytes(_ROOM[:size]))
             else:
                 self._lost("end of stream")
 
@@ -168,22 +208,25 @@
             self._lost(error.strerror or str(error))
             return
         self._rewatch()
-        if not self._out and self._finishing is not None:
-            self._shut()
-        elif not self._out and self._on_drained is not None:
+        if self._out:
+            return
+        if self.state is not State.OPEN:
+            self._move(Event.WRITTEN)
+        elif self._on_drained is not None:
             self._on_drained()
 
     def _lost(self, why: str) -> None:
-        if self._finishing is not None:
-            self._end_finish()
+        if self.state is not State.OPEN:
+            self._move(Event.LOST)
             return
         on_close = self._on_close
         self.close()
         on_close(why)
 
     def fail(self, why: str) -> None:
-        """End this connection after an error of this program; its owner is told."""
+        """End this connection, with no further word to the peer; its owner is told."""
         if not self.closed:
+            self._drop_unread()
             self._lost(why)
 
 
@@ -212,11 +255,11 @@
         loop.watch(self.sock, READ, self._ready)
 
     def _ready(self, _: int) -> None:
-        self._accept(64)
+        self._accept(64, self.most)
 
-    def _accept(self, most: int) -> None:
-        for _turn in range(most):
-            if self._open() >= self.most:
+    def _accept(self, turns: int, most: int) -> None:
+        for _turn in range(turns):
+            if self._open() >= most:
                 self._rest("connection limit reached")
                 return
             try:
@@ -233,6 +276,8 @@
 
     def _rest(self, why: str) -> None:
         self._on_rest(why)
+        if self.closed:  # it accepts for the last time
+            return
         self.loop.watch(self.sock, 0, self._ready)
         self.loop.call_in(RESERVE_PAUSE, self._wake)
 
@@ -241,10 +286,16 @@
             self.loop.watch(self.sock, READ, self._ready)
 
     def drain(self) -> None:
-        """Accept who waits, then close: closing resets them, and their requests may be here already."""
+        """Accept who waits, then close: closing resets them, and their requests may be here already.
+
+        Over ``most`` as well: it is their last chance. Nothing is done between the accept that finds nobody
+        and the close; who comes in between is reset. (Shutting the listener down first resets all who wait.)
+        """
         if not self.closed:
-            self._accept(BACKLOG)
-            self.close()
+            self.closed = True
+            self.loop.watch(self.sock, 0, self._ready)
+            self._accept(2 * BACKLOG, self.most + BACKLOG)
+            self.sock.close()
 
     def close(self) -> None:
         """Stop accepting; streams already open go on."""
--- a/quincepath/platform/ending.py
+++ b/quincepath/platform/ending.py
@@ -12,6 +12,7 @@
 LONGEST = 3 * SECOND  # a longer deadline counts as this one when the kill comes
 AFTER = 700 * MS  # from that deadline to the kill, at the least
 MARGIN = 150 * MS  # before the kill by which all is answered
+LINGERING = 75 * MS  # of that, for clients to take their answers and to see the half-close
 COMING = 500 * MS  # after the signal, at the least, new connections are taken: they come for 400 ms
 
 
@@ -33,6 +34,11 @@
         assert self.end is not None
         return self.end - min(*self.targets, self._length - COMING)
 
+    def leaves_at(self) -> int:
+        """When the process ends even if clients have not ended their connections: the kill is near."""
+        assert self.end is not None
+        return self.end + LINGERING
+
     def time_left(self, now: int, kind: int, asked: int) -> int | None:
         """The time that a query may take; None where it has to be refused."""
         if self.end is None:
--- a/quincepath/platform/service.py
+++ b/quincepath/platform/service.py
@@ -188,16 +188,16 @@
             if oldest is not None:
                 del self._bringers[oldest]
                 if not oldest.stream.closed and oldest.waits():
-                    oldest.cut("cut, unused for longest")
+                    oldest.end("cut, unused for longest")
 
     def _make_room(self, server: HttpServer, newest: Peer) -> None:
-        if len(server.peers) <= self.room.clients:
+        if len(server.peers) - len(server.lingering) <= self.room.clients:
             return
         found = places.victim(self.loop.now, (peer for peer in server.peers if peer is not newest))
         if found is None:
-            newest.cut("cut as it came")
+            newest.end("cut as it came")
         else:
-            found.cut("cut for room" if found.valued else "cut for room, brought nothing")
+            found.end("cut for room" if found.valued else "cut for room, brought nothing")
 
     def _rest(self, why: str) -> None:
         self.counts["accept rests"] += 1
@@ -374,11 +374,16 @@
 
     def _close_door(self) -> None:
         self.server.drain()
+        assert self.ending.end is not None
+        self.loop.call_at(self.ending.end, self.server.break_off)
         self._end_when_done()
 
     def _end_when_done(self) -> None:
-        if self.open or self.server.peers:
-            self.loop.call_in(ENDING, self._end_when_done)
+        # Lingering connections are waited for, but not up to the kill; who has asked is owed an answer.
+        last = self.ending.leaves_at()
+        if self.open or self.server.peers and self.loop.now < last:
+            again = self.loop.now + ENDING
+            self.loop.call_at(min(again, last) if self.loop.now < last else again, self._end_when_done)
         elif self.on_ended is not None:
             done, self.on_ended = self.on_ended, None
             log.info("all is answered")
--- /dev/null
+++ b/tests/standins/sockets.py
@@ -0,0 +1,60 @@
+"""Plain client sockets beside a broker in virtual time, and acts at the moment of a call to the system."""
+
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from quincepath.net.server import Peer
+from tests.standins.platform import World
+
+
+def connect(world: World) -> socket.socket:
+    """A client that does nothing by itself: not even end when the broker does."""
+    sock = socket.create_connection(("127.0.0.1", world.port))
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.settimeout(5)
+    return sock
+
+
+def peer_of(world: World, sock: socket.socket) -> Peer:
+    """The broker's side of it."""
+    port = sock.getsockname()[1]
+    return next(peer for peer in world.broker.server.peers if peer.stream.sock.getpeername()[1] == port)
+
+
+def read_all(sock: socket.socket) -> tuple[bytes, str]:
+    """What has come, and what is behind it: ``end``, ``reset`` or ``open``."""
+    got = b""
+    sock.setblocking(False)
+    while True:
+        try:
+            data = sock.recv(1 << 20)
+        except BlockingIOError:
+            return got, "open"
+        except OSError:
+            return got, "reset"
+        if not data:  # a reset behind the end is no error of a read, but destroys what is still on its way
+            return got, "reset" if sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) else "end"
+        got += data
+
+
+class Moment:
+    """Runs ``act`` once, just ahead of the first call of one of ``names`` on a socket."""
+
+    def __init__(
+        self, patch: pytest.MonkeyPatch, sock: socket.socket, names: tuple[str, ...], act: Callable[[], None]
+    ) -> None:
+        self.came = False
+        for name in names:
+            patch.setattr(socket.socket, name, self._wrapped(getattr(socket.socket, name), sock, act))
+
+    def _wrapped(self, call: Any, watched: socket.socket, act: Callable[[], None]) -> Any:
+        def wrapped(sock: socket.socket, *words: Any) -> Any:
+            if sock is watched and not self.came:
+                self.came = True
+                act()
+            return call(sock, *words)
+
+        return wrapped
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -470,9 +470,10 @@
                 world.until(lambda client=client: client.status > 0)  # type: ignore[misc]
             if end == "held and cut":
                 for peer in list(broker.server.peers):
-                    peer.cut("cut")
+                    peer.end("cut")
                     del peer
             client.stream.close()
+            world.run(0.05)  # nodes accept late, and each of their connections is to be closed
             for stream in [stream for node in world.nodes for stream in node.streams]:
                 stream.close()
             world.run(3)
