A client's end is seen before its query is sent on, wherever that end lies unread

Orders that broke it, each shown by parts that reached a node after their client had closed: - the connection waited in the backlog while the listener rested, with request and end both unread: the request was taken by one read, the end was seen a turn later (`Peer._next`); - a long turn: request and end arrive within it, or the request was read at its start and the end comes before the hook that sends on, or a node's answer begins the next attempt at its end (`service._turn`); - reading was paused (`Peer._data`: read-ahead full, or an error held back in its turn): the end lay behind unread bytes until the query's own time was over. Ruled out: a request behind a pipelined one (its turn comes after the sockets of that turn were read), half a request behind an open one (it is read).

Mend: while a request is open the connection is always read. Of what is sent ahead as much is held as before; the rest is read and dropped, the connection half-closes after the answers it is owed, and over 1 MiB it is broken off. A connection's first request is taken after a look (recv with MSG_PEEK). `Loop.lag` tells how long what a wait found may have lain there; with that and the turn's own length over 20 ms `HttpServer._look_for_ends` looks at the connections with an open request, ahead of the hook that sends on. Answers that wait for their reader now hold up the next pipelined request (`Peer._drained`): one that asks on and never reads filled the memory.

--- a/quincepath/net/loop.py
+++ b/quincepath/net/loop.py
@@ -46,6 +46,8 @@
         self.on_error: Callable[[Exception], None] | None = None
         self.turns = 0
         self.now = clock()
+        # How long (ns) what the last wait found may have lain there: the turn before, and a late return.
+        self.lag = 0
 
     def watch(self, sock: socket.socket, mask: int, call: Callable[[int], None]) -> None:
         """Call ``call(ready mask)`` when the socket is ready; replaces an earlier watch, mask 0 ends it."""
@@ -94,11 +96,12 @@
         """One turn; waits at most ``longest`` seconds."""
         while self._timers and self._timers[0][2].call is None:
             heapq.heappop(self._timers)
-        wait = longest
+        wait, began = longest, self.clock()
         if self._timers:
-            wait = min(max((self._timers[0][0] - self.clock()) / 1e9, 0.0), longest)
+            wait = min(max((self._timers[0][0] - began) / 1e9, 0.0), longest)
         ready = self._wait(wait)
-        self.now = self.clock()
+        before, self.now = self.now, self.clock()
+        self.lag = began - before + max(self.now - began - int(wait * 1e9), 0)
         self.turns += 1
         for key, mask in ready:
             call: Any = key.data
--- a/quincepath/net/server.py
+++ b/quincepath/net/server.py
@@ -2,8 +2,8 @@
 
 A pipelined request waits in the reader until the one before it is answered; it is *taken* then, and its
 client's time starts then, because an answer could not pass the earlier one anyway. While a request is open
-the connection is still read, so that a client that leaves is noticed; what it sends ahead is bounded.
-How a connection ends is said in net/closing.py.
+the connection is always read, so that a client that leaves is noticed; of what it sends ahead little is held,
+and the rest is dropped. How a connection ends is said in net/closing.py.
 """
 
 import socket
@@ -19,8 +19,10 @@
 SWEEP = 250_000_000  # ns between looks for connections past a time limit
 LINGER_MOST = 1024 * 1024  # bytes read and dropped from a client that has its last answer
 JOINED = 16 * 1024  # bytes of a body that are copied behind the head
-AHEAD = 16  # pipelined requests read ahead at most; then the connection is not read until they are served
+AHEAD = 16  # pipelined requests held at most; what comes behind is read and dropped
+DROP_MOST = 1024 * 1024  # bytes so dropped, then the connection is broken off: a flood
 GREETING = 250_000_000  # ns that a new connection has to begin its request while the server drains
+STALE = 20_000_000  # ns that an end may lie unseen; queries must not be sent on 100 ms after it
 TEXT = {"Content-Type": "text/plain; charset=utf-8"}
 
 
@@ -77,7 +79,8 @@
         self.asked = False  # some request of it was whole
         self.valued = False  # the handler's mark: it has brought work worth keeping it for
         self.error: HttpError | None = None
-        self.stream = Stream(server.loop, sock, self._data, self._closed)
+        self.dropped = 0  # bytes that were not parsed any more: the connection ends after the answers owed
+        self.stream = Stream(server.loop, sock, self._data, self._closed, self._drained)
 
     @property
     def closing(self) -> bool:
@@ -89,24 +92,33 @@
             self.arriving = True
             if self.asked or not self.server.times.first:  # the first request's time runs from the connect
                 self.since = self.server.loop.now
+        if self.error is not None or self.dropped or len(self.reader.done) >= AHEAD:
+            # Not left unread: behind it may lie the client's end, and its open query must not go on then.
+            self.dropped += len(data)
+            if self.dropped > DROP_MOST:
+                self.server.counts["flooded"] += 1
+                self.stream.fail("sent too much ahead")
+            return
         try:
             self.reader.feed(data)
         except HttpError as error:
             self.error = HttpError(error.status, error.text)  # without the trace, which holds this connection
-            self.stream.pause()
         if self.reader.wants_continue and self.current is None and self.error is None:
             self.reader.wants_continue = False
             self.stream.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        if len(self.reader.done) >= AHEAD:
-            self.stream.pause()
         self._next()
 
     def _next(self) -> None:
-        """Take the next whole request, if nothing is open; a protocol error is answered in its turn."""
-        while self.current is None and not self.closing:
+        """Take the next whole request, if nothing is open; a protocol error is answered in its turn.
+
+        Not while an answer waits for its reader: one who asks on and never reads would fill the memory.
+        """
+        while self.current is None and not self.closing and not self.stream.pending:
             if self.reader.done:
-                if len(self.reader.done) == AHEAD and self.error is None:
-                    self.stream.resume()
+                if not self.asked and self.stream.gone():  # it may have waited long for the accept
+                    self.server.counts["gone_before_taken"] += 1
+                    self.stream.fail("end of stream")
+                    return
                 request = self.reader.done.popleft()
                 self.arriving = self.reader.busy
                 self.since = self.server.loop.now
@@ -117,14 +129,21 @@
             elif self.error is not None:
                 self.server.counts["protocol_errors"] += 1
                 self._send(self.error.status, TEXT, self.error.text.encode() + b"\n", keep_alive=False)
+            elif self.dropped:
+                self.end("read_ahead")
             else:
                 return
 
+    def _drained(self) -> None:
+        if self.reader.done or self.error is not None or self.dropped:
+            self.server.loop.call_at(self.server.loop.now, self._next)  # not from within the handler
+
     def respond(self, status: int, headers: dict[str, str], body: bytes, keep_alive: bool) -> None:
         """Send the open request's answer and go on to the next request."""
         self.current = None
         self.since = self.server.loop.now
-        self._send(status, headers, body, keep_alive and not self.server.last_answers)
+        last = self.server.last_answers or self.dropped > 0 and not self.reader.done and self.error is None
+        self._send(status, headers, body, keep_alive and not last)
         if not self.closing:
             self.server.loop.call_at(self.server.loop.now, self._next)  # not from within the handler
 
@@ -253,6 +272,7 @@
         self.listener = Listener(loop, host, port, self._accept, self._held, most, rest)
         self.port = self.listener.port
         self._sweep()
+        loop.turn_hooks.append(self._look_for_ends)  # ahead of the hook that sends queries on
 
     def _held(self) -> int:
         """Connections that hold a descriptor. At the bound the oldest that lingers goes for a new one.
@@ -263,6 +283,19 @@
             next(iter(self.lingering)).abandon("lingered_out")
         return len(self.peers)
 
+    def _look_for_ends(self) -> None:
+        """After a long turn, ends of open requests' clients that came meanwhile, ahead of what is sent on.
+
+        Only then: commonly the wait has just told of each end, and a look costs a call to the system.
+        """
+        loop = self.loop
+        if loop.lag + loop.clock() - loop.now < STALE:
+            return
+        for peer in [peer for peer in self.peers if peer.current is not None]:
+            if not peer.closing and peer.stream.gone():
+                self.counts["gone_unseen"] += 1
+                peer.stream.fail("end of stream")
+
     def _accept(self, sock: socket.socket) -> None:
         self.counts["accepted"] += 1
         peer = Peer(self, sock)
@@ -319,3 +352,5 @@
             peer.stream.abandon()
         self.peers.clear()
         self.lingering.clear()
+        if self._look_for_ends in self.loop.turn_hooks:
+            self.loop.turn_hooks.remove(self._look_for_ends)
