--- a/benchmarks/throughput.py
+++ b/benchmarks/throughput.py
@@ -140,7 +140,7 @@
             self.parts[self.count] = (number, part.shard)
             node = random.choice(self.nodes[part.shard % len(self.nodes)])
             end = self.loop.now + ask.time_left
-            order = AttemptOrder(self.count, 0, part.shard, 1, end, part.payload, "")
+            order = AttemptOrder(self.count, 0, part.shard, 1, end, end, end, part.payload, "")
             self.upstream.start(StartCall(node, (order,)))
 
     def ended(self, ended: Ended) -> None:
@@ -212,7 +212,7 @@
         return self.front.write(whole(bodies), plan)
 
     def part(self, ask: Ask, part: PartAsk, bodies: list[tuple[int, int, Any]]) -> None:
-        order = AttemptOrder(1, 0, part.shard, 1, 0, part.payload, "")
+        order = AttemptOrder(1, 0, part.shard, 1, 0, 0, 0, part.payload, "")
         headers, body = self.calls.encode([order])
         port = random.choice(self.ports[part.shard % len(self.ports)])
         line = http.client.HTTPConnection("127.0.0.1", port, timeout=ask.time_left / 1e9)
--- a/quincepath/broker/driver/core.py
+++ b/quincepath/broker/driver/core.py
@@ -14,7 +14,7 @@
 from collections import Counter
 from collections.abc import Iterable
 
-from quincepath.broker.driver.rules import Rules
+from quincepath.broker.driver.rules import PROVED_UNRUN, Rules
 from quincepath.broker.driver.state import Attempt, Module, OpenPart, OpenQuery
 from quincepath.interface import (
     Action,
@@ -48,6 +48,7 @@
     Ended,
     Finish,
     Input,
+    LeaveBy,
     Listed,
     Order,
     PartAsk,
@@ -56,6 +57,7 @@
     StopAttempt,
     Told,
     Verdict,
+    Withdraw,
 )
 
 TOLERANCE = 1e-4  # sums of weights may fall so much short: rounding
@@ -81,6 +83,7 @@
         self._calls: dict[NodeId, list[list[AttemptOrder]]] = {}
         self._open_parts = 0  # of queries that are not over
         self._done: list[int] = []  # parts to forget at the end of this step
+        self._moot: list[tuple[OpenPart, int]] = []  # attempts of this step's ended parts that were out
 
     # --- what the edge calls ---
 
@@ -120,9 +123,11 @@
         for part_id in self._done:
             self.parts.pop(part_id, None)
         self._done.clear()
+        withdrawn = [Withdraw(part.id, at) for part, at in self._moot if not part.attempts[at].ended]
+        self._moot.clear()
         # Starts go first: a stop in the same batch then always names an attempt that the edge knows.
         starts = [StartCall(node, tuple(call)) for node, calls in self._calls.items() for call in calls]
-        return [*starts, *self._orders]
+        return [*withdrawn, *starts, *self._orders]
 
     def _decide(self, events: list[Event]) -> list[Action]:
         """The module's actions. A fault of it is told; queries that it forgot end at their deadline."""
@@ -150,7 +155,8 @@
             case Allowed(allowance):
                 events.append(allowance)
             case Listed(members):
-                self.rules.take_in(self.now, members)
+                for node in self.rules.take_in(self.now, members):
+                    self._orders.append(LeaveBy(node, self.rules.leave_by(node)))
                 events.append(members)
 
     def _next_id(self) -> int:
@@ -186,10 +192,11 @@
             self._breach("ending_unknown", f"part {item.part} attempt {item.attempt}: {item.result.name}")
             return
         attempt = part.attempts[item.attempt]
-        attempt.ended = True
+        attempt.ended, attempt.never_ran = True, item.result in PROVED_UNRUN
         query = part.query
         if item.result is Result.OK and not part.ok and not query.over:
             part.ok, part.body = True, item.body  # a second copy's answer never replaces the first
+            self._withdraw(part)
         final = item.result is Result.OK or query.over or self.now >= query.deadline
         elapsed = self.now - attempt.sent
         events.append(Outcome(part.id, item.attempt, attempt.node, item.result, elapsed, final, item.report))
@@ -237,11 +244,11 @@
             self._breach("send_unknown_part", f"part {action.part}")
             return
         number = len(part.attempts)
-        part.attempts.append(Attempt(action.node, self.now))
-        why = self.rules.wrong_send(self.now, part, action, number)
+        why = self.rules.wrong_send(self.now, part, action)
+        whole_by = self.rules.whole_by(part)
+        part.attempts.append(Attempt(action.node, self.now, ended=bool(why), never_ran=bool(why)))
         if why:
             self._breach(why, f"part {action.part} attempt {number} to {action.node.hex()}")
-            part.attempts[number].ended = True
             self._carried.append(Outcome(part.id, number, action.node, Result.MOOT, 0, part.query.over, ()))
             return
         query = part.query
@@ -249,11 +256,14 @@
         query.sent_at = self.now
         wait = action.timeout or query.deadline - self.now
         deadline = min(self.now + max(wait, 0), query.deadline)
+        whole_by = min(whole_by, deadline)
         order = AttemptOrder(
             part.id,
             number,
             part.ask.shard,
             part.step,
+            min(self.rules.leave_by(action.node), whole_by),
+            whole_by,
             deadline,
             part.ask.payload,
             query.ask.name,
@@ -332,6 +342,7 @@
         del self._by_handle[query.ask.handle]
         for part in query.parts:
             part.body = None
+            self._withdraw(part)
             if not part.out():
                 self._done.append(part.id)
         if query.sent_at != self.now:
@@ -341,13 +352,20 @@
             kept = [[order for order in call if not self._is_over(order)] for call in calls]
             self._calls[node] = [call for call in kept if call]
 
+    def _withdraw(self, part: OpenPart) -> None:
+        """Nobody needs a part any more: what of it still waits at the edge must not leave.
+
+        Also where the site lets no broker cancel: nothing is called back that a node may have.
+        """
+        self._moot.extend((part, at) for at, attempt in enumerate(part.attempts) if not attempt.ended)
+
     def _is_over(self, order: AttemptOrder) -> bool:
         part = self.parts.get(order.part)
         if part is None or not part.query.over:
             return part is None
         attempt = part.attempts[order.attempt]
         if not attempt.ended:
-            attempt.ended = True
+            attempt.ended = attempt.never_ran = True
             self._carried.append(Outcome(part.id, order.attempt, attempt.node, Result.MOOT, 0, True, ()))
             if not part.out():
                 self._done.append(part.id)
--- a/quincepath/broker/driver/rules.py
+++ b/quincepath/broker/driver/rules.py
@@ -1,10 +1,16 @@
-"""The rules of sends, checked against the list of holders as this broker was told it."""
+"""The rules of sends, checked against the list of holders as it was told here, and until when they leave.
+
+A send that is right when it is decided may wait at the edge. So each is given two times with its order, and
+this is the one place that says them: a drain's grace counts for the first byte, all else for the last.
+"""
 
 from dataclasses import dataclass
 
 from quincepath.broker.driver.state import OpenPart
-from quincepath.interface import Members, NodeId, Phase, Scope, Send, Settings
+from quincepath.interface import Effect, Members, NodeId, Phase, Result, Scope, Send, Settings
 
+PROVED_UNRUN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)  # endings after which no effect can exist
+NEVER = 1 << 62  # a time, in ns, that does not come
 FORGOTTEN = 60_000_000_000  # ns past the grace until a holder that is gone is forgotten
 
 
@@ -22,15 +28,19 @@
         self.settings, self.grace = settings, grace
         self._nodes: dict[NodeId, _Listed] = {}
 
-    def take_in(self, now: int, members: Members) -> None:
-        """News of the list; one that could not be read changes nothing."""
+    def take_in(self, now: int, members: Members) -> list[NodeId]:
+        """News of the list; one that could not be read changes nothing. Returns who is not ready any more."""
         if members.scope is Scope.FAILED:
-            return
+            return []
+        lost: list[NodeId] = []
         if members.scope is not Scope.DELTA:
             named = {entry.node for entry in members.entries}
             for node, known in self._nodes.items():
                 if node not in named and known.phase is not Phase.GONE:
-                    known.phase, known.told = Phase.GONE, now
+                    if known.phase is Phase.READY:
+                        known.told = now
+                        lost.append(node)
+                    known.phase = Phase.GONE
         # Ids come and go all day: who has been gone for long is as unknown as one that was never named.
         old = now - self.grace - FORGOTTEN
         for node in [n for n, k in self._nodes.items() if k.phase is Phase.GONE and k.told < old]:
@@ -39,25 +49,52 @@
             known = self._nodes.setdefault(entry.node, _Listed(entry.cell, Phase.READY, 0))
             if entry.phase is not Phase.READY and known.phase is Phase.READY:
                 known.told = now
+                lost.append(entry.node)
             known.cell, known.phase = entry.cell, entry.phase
+        return lost
 
-    def wrong_send(self, now: int, part: OpenPart, action: Send, number: int) -> str:
+    def wrong_send(self, now: int, part: OpenPart, action: Send) -> str:
         """The name of the rule that this send would break; empty where it breaks none."""
         limits = self.settings.limits
+        spec = self.settings.classes[part.query.ask.kind]
         listed = self._nodes.get(action.node)
         if part.query.over:
             return "send_after_end"
         if part.ok:
             return "send_of_part_in"
-        if number >= limits.attempts:
+        if len(part.attempts) >= limits.attempts:
             return "send_beyond_attempts"
-        if not limits.duplicate and any(not a.ended for a in part.attempts[:number]):
+        if not limits.duplicate and part.out():
             return "send_second_copy"
+        if spec.effect is Effect.UNSAFE and part.first_run() is not None:
+            return "send_may_run_twice"
         if listed is None:
             return "send_to_unlisted"
         distance = (listed.cell - part.ask.shard) % self.settings.cells
         if distance >= self.settings.reach:
             return "send_to_wrong_holder"
-        if listed.phase is not Phase.READY and now > listed.told + self.grace:
+        if now > self._window_end(part):
+            return "send_past_window"
+        if now > self.leave_by(action.node):
             return "send_past_grace"
         return ""
+
+    def leave_by(self, node: NodeId) -> int:
+        """Until when a send to this node may begin: so long after the news that it drains or is gone."""
+        listed = self._nodes.get(node)
+        if listed is None or listed.phase is Phase.READY:
+            return NEVER
+        return listed.told + self.grace
+
+    def whole_by(self, part: OpenPart) -> int:
+        """Until when a send of this part must have left: its query's end, or that of its window."""
+        return min(part.query.deadline, self._window_end(part))
+
+    def _window_end(self, part: OpenPart) -> int:
+        """When repeats of a keyed part are not dropped any more.
+
+        Counted from the decision of the first attempt that may have run: that attempt itself may have
+        counted later, which leaves more time than is taken here, never less.
+        """
+        spec, first = self.settings.classes[part.query.ask.kind], part.first_run()
+        return NEVER if spec.effect is not Effect.KEYED or first is None else first + spec.window
--- a/quincepath/broker/driver/state.py
+++ b/quincepath/broker/driver/state.py
@@ -23,6 +23,7 @@
     node: NodeId
     sent: int
     ended: bool = False
+    never_ran: bool = False  # that is proved; until it has ended it may run
 
 
 @dataclass(slots=True)
@@ -41,6 +42,10 @@
         """Whether an attempt has not ended."""
         return any(not attempt.ended for attempt in self.attempts)
 
+    def first_run(self) -> int | None:
+        """When the first attempt that may have run, or may yet, was sent."""
+        return next((attempt.sent for attempt in self.attempts if not attempt.never_ran), None)
+
 
 @dataclass(slots=True)
 class OpenQuery:
--- a/quincepath/orders.py
+++ b/quincepath/orders.py
@@ -101,12 +101,18 @@
 
 @dataclass(slots=True, frozen=True)
 class AttemptOrder:
-    """One attempt of one part, to be given up at ``deadline``."""
+    """One attempt of one part, to be given up at ``deadline``.
+
+    It may wait at the edge, for a connection or a full socket: its first byte leaves by ``leave_by`` and its
+    last by ``whole_by``, or it never runs. ``leave_by <= whole_by <= deadline``.
+    """
 
     part: int
     attempt: int
     shard: int
     step: int
+    leave_by: int
+    whole_by: int
     deadline: int
     payload: Any
     query_name: str
@@ -129,6 +135,25 @@
     attempt: int
 
 
+@dataclass(slots=True, frozen=True)
+class Withdraw:
+    """What of an attempt has not wholly left must not leave; one that has goes on. Its ``Ended`` is owed.
+
+    Unlike ``StopAttempt`` it is no choice of the module's: the part is in, or its query is over.
+    """
+
+    part: int
+    attempt: int
+
+
+@dataclass(slots=True, frozen=True)
+class LeaveBy:
+    """No attempt for this node, which drains or is gone, begins to leave after ``at``."""
+
+    node: NodeId
+    at: int
+
+
 @dataclass(slots=True, frozen=True)
 class Finish:
     """The one final answer. ``bodies`` are those of the parts that are in, as (step, shard, body)."""
@@ -165,4 +190,4 @@
     """The module wants the list of holders read anew."""
 
 
-Order = StartCall | StopAttempt | Finish | Told | Breach | ReadList
+Order = StartCall | StopAttempt | Withdraw | LeaveBy | Finish | Told | Breach | ReadList
--- a/quincepath/platform/link.py
+++ b/quincepath/platform/link.py
@@ -18,7 +18,8 @@
 QUIET_DIALS = 2  # a connection on which parts wait and nothing came for so many dial time-outs is doubted
 IDLE_SHARE = 0.7  # of the idle time: an older connection may be closed at the other end by now
 ECHO_DIALS = 0.1  # a second copy of an answer comes within so many dial time-outs after it, if one comes
-STALL_DIALS = 0.5  # a reply that began and does not go on for so many dial time-outs is spoilt
+STALL_DIALS = 0.5  # a reply that began and does not go on for so many dial time-outs is spoilt,
+FRAME_DIALS = 2  # and so is one that is not whole in so many: drips keep the replies behind it back for ever
 
 
 @dataclass(slots=True, frozen=True)
@@ -40,11 +41,17 @@
         self.answered: dict[bytes, int] = {}  # and from when on they may travel again
         self.retired = False
         self.used_at = now  # when bytes last went either way
+        self.heard_at = now  # when bytes last came
+        self.reply_since = now  # since when the reply that has begun, if any, has been arriving
         self.waiting_since = now  # since when something is out with nothing heard
 
-    def room(self, now: int) -> bool:
-        """Whether something new may go out: not full, not retired, not doubted, not near its idle end."""
-        if self.retired or len(self.live) + len(self.given_up) >= self.places:
+    def opened(self, now: int) -> None:
+        """The connection has come up; whatever waited for it may go out."""
+        self.used_at = self.heard_at = self.waiting_since = now
+
+    def room(self, now: int, parts: int = 1) -> bool:
+        """Whether so many may go out: not full, not retired, not doubted, not near its idle end."""
+        if self.retired or len(self.live) + len(self.given_up) + parts > self.places:
             return False
         return not self.doubted(now) and now < self.used_at + int(IDLE_SHARE * self.times.idle)
 
@@ -79,12 +86,19 @@
         self.live.pop(part, None)
 
     def stalled(self, now: int) -> bool:
-        """A reply has begun and does not go on: guards against a length that does not fit."""
-        return self.reader.inside and now > self.used_at + int(STALL_DIALS * self.times.dial)
+        """A reply has begun and does not go on, or not to its end: guards against a length that does not fit.
+
+        Counted from what came alone: what is sent here, or comes in drips, is no sign that it will be whole.
+        """
+        if not self.reader.inside:
+            return False
+        still = now > self.heard_at + int(STALL_DIALS * self.times.dial)
+        return still or now > self.reply_since + FRAME_DIALS * self.times.dial
 
     def receive(self, now: int, data: bytes) -> tuple[list[tuple[Hashable, Reply]], Spoilt | None]:
         """Replies by attempt, and what is wrong with the bytes after them, if anything is."""
-        self.used_at = self.waiting_since = now
+        self.used_at = self.heard_at = self.waiting_since = now
+        began = self.reader.inside
         spoilt: Spoilt | None = None
         try:
             self.reader.feed(data)
@@ -92,6 +106,8 @@
             spoilt = error
         found: list[tuple[Hashable, Reply]] = []
         replies, self.reader.done = self.reader.done, []
+        if replies or not began:
+            self.reply_since = now  # of the one that these bytes end with
         for reply in replies:
             key = self.live.pop(reply.id, None)
             if key is not None:
--- a/quincepath/platform/nodes.py
+++ b/quincepath/platform/nodes.py
@@ -1,18 +1,15 @@
-"""Connections to nodes: many parts on each, outcomes told as facts. Moves bytes; ``Link`` keeps the books."""
+"""All connections to nodes: which one a call goes on, and how each attempt ended, told once, as a fact."""
 
-import errno
-import socket
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 from quincepath.interface import NodeId, Result
-from quincepath.net.dial import LATE, Dial, why
-from quincepath.net.loop import Loop, Timer
-from quincepath.net.stream import Stream
-from quincepath.orders import AttemptOrder, Ended, StartCall
-from quincepath.platform.frames import CallPart, Reply, Spoilt, call_frame, give_up_frame, read_report
-from quincepath.platform.link import Link, LinkTimes
+from quincepath.net.loop import Loop
+from quincepath.orders import Ended, StartCall
+from quincepath.platform.connection import Connection
+from quincepath.platform.frames import Reply, Spoilt, read_report
+from quincepath.platform.leaving import Frame, Key, Leaving
+from quincepath.platform.link import LinkTimes
 from quincepath.upstream.outcomes import End, Meaning, of_transport
 
 MS = 1_000_000
@@ -22,144 +19,6 @@
     b"bad": Meaning(Result.ERROR, "the node said bad"),
     b"later": Meaning(Result.FULL, "the node turned it away"),
 }
-Key = tuple[int, int]
-
-
-@dataclass(slots=True, eq=False)
-class _Out:
-    """One attempt that is out."""
-
-    key: Key
-    order: AttemptOrder
-    id: bytes
-    connection: "_Connection | None" = None
-    handed: bool = False  # its frame's last byte is with the system
-    timer: Timer | None = None
-
-
-@dataclass(slots=True, eq=False)
-class _Frame:
-    """Parts of one call whose frame has not begun to leave, or bytes that tell of a part given up."""
-
-    outs: list[_Out] = field(default_factory=list)
-    data: bytes = b""
-
-
-class _Connection:
-    """One socket to a node, dialling or open. Frames wait here, not in the stream, to be taken back."""
-
-    def __init__(self, owner: "Nodes", node: NodeId, address: tuple[str, int]) -> None:
-        self.owner, self.node, self.address = owner, node, address
-        self.link = Link(owner.streams, owner.times, owner.loop.now)
-        self.queue: deque[_Frame] = deque()
-        self.leaving: _Frame | None = None  # begun, not wholly with the system
-        self.stream: Stream | None = None
-        self.closed = False
-        self._pumping = False
-        owner.counts["opened"] += 1
-        self.dial: Dial | None = Dial(owner.loop, address, owner.times.dial, self._opened, self._not_opened)
-
-    def _opened(self, sock: socket.socket) -> None:
-        self.dial = None
-        self.link.used_at = self.link.waiting_since = self.owner.loop.now
-        self.stream = Stream(self.owner.loop, sock, self._data, self._lost, self._pump)
-        self._pump()
-
-    def _not_opened(self, code: int) -> None:
-        self.dial = None
-        end = {LATE: End.DIAL_TIMEOUT, errno.ECONNREFUSED: End.REFUSED}.get(code, End.UNREACHABLE)
-        self.end_all(of_transport(end, why(code)), of_transport(end, why(code)))
-
-    def put(self, frame: _Frame) -> None:
-        """A frame of a call; its ids may be carried."""
-        for out in frame.outs:
-            out.connection = self
-            self.link.put(self.owner.loop.now, out.id, out)
-        self.queue.append(frame)
-        self._pump()
-
-    def _pump(self) -> None:
-        """Write what waits, frame by frame, as far as the system takes it."""
-        if self._pumping:
-            return
-        self._pumping = True
-        while self.stream is not None and not self.stream.closed and not self.stream.pending:
-            if self.leaving is not None:
-                for out in self.leaving.outs:
-                    out.handed = True
-                self.leaving = None
-            if not self.queue:
-                break
-            frame = self.leaving = self.queue.popleft()
-            now = self.owner.loop.now
-            if frame.outs:
-                frame.data = call_frame([self._part(out, now) for out in frame.outs])
-                self.link.used_at = now
-            self.stream.write(frame.data)
-        self._pumping = False
-
-    @staticmethod
-    def _part(out: _Out, now: int) -> CallPart:
-        wait = max((out.order.deadline - now) // MS, 1)
-        return CallPart(out.id, out.order.shard, wait, out.order.payload)
-
-    def give_up(self, out: _Out) -> bool:
-        """Nobody waits for an attempt any more; tells whether it certainly never left."""
-        for frame in self.queue:
-            if out in frame.outs:
-                frame.outs.remove(out)
-                if not frame.outs:
-                    self.queue.remove(frame)
-                self.link.take_back(out.id)
-                return True
-        self.link.give_up(out.id)
-        self.queue.append(_Frame(data=give_up_frame(out.id)))
-        self._pump()
-        return False
-
-    def _data(self, data: bytes) -> None:
-        replies, spoilt = self.link.receive(self.owner.loop.now, data)
-        for out, reply in replies:
-            assert isinstance(out, _Out)
-            self.owner.replied(out, reply)
-        if spoilt is not None:
-            self.spoil(spoilt)
-
-    def spoil(self, spoilt: Spoilt) -> None:
-        """The bytes cannot be used: the attempt concerned failed, the others go down with the connection."""
-        self.owner.counts["spoilt"] += 1
-        # Which attempt the bytes were for is often unreadable: the one that has waited longest stands for it.
-        handed = [out for out in self.link.live.values() if isinstance(out, _Out) and out.handed]
-        concerned = self.link.live.get(spoilt.part) or (handed[0] if handed else None)
-        if isinstance(concerned, _Out):
-            self.link.give_up(concerned.id)
-            self.owner.end(concerned, of_transport(End.PROTOCOL, spoilt.text))
-        self.owner.on_event("spoilt connection", self.node, spoilt.text)
-        unsent = of_transport(End.LOST_UNSENT, spoilt.text)
-        self.end_all(unsent, of_transport(End.SPOILT, spoilt.text))
-
-    def _lost(self, text: str) -> None:
-        self.end_all(of_transport(End.LOST_UNSENT, text), of_transport(End.LOST, text))
-
-    def end_all(self, unsent: Meaning, sent: Meaning) -> None:
-        """The connection is over; each attempt on it ends by whether its frame had left."""
-        outs = [out for out in self.link.live.values() if isinstance(out, _Out)]
-        self.close()
-        for out in outs:
-            self.owner.end(out, sent if out.handed else unsent)
-
-    def close(self) -> None:
-        """Close, in whatever state; what is out is not told."""
-        if self.closed:
-            return
-        self.closed = True
-        if self.dial is not None:
-            self.dial.close()
-        if self.stream is not None:
-            self.stream.close()
-        self.link.live.clear()
-        self.queue.clear()
-        self.owner.forget(self)
 
 
 class Nodes:
@@ -184,8 +43,9 @@
         self.loop, self.streams, self.times, self.most = loop, streams, times, most
         self.most_open = most_open
         self._where, self._ended, self._fields, self.on_event = where, ended, report_fields, on_event
-        self.connections: dict[NodeId, list[_Connection]] = {}
-        self.outs: dict[Key, _Out] = {}
+        self.connections: dict[NodeId, list[Connection]] = {}
+        self.ending: set[Connection] = set()  # closed to everything new, their last bytes on the way
+        self.outs: dict[Key, Leaving] = {}
         self.counts: Counter[str] = Counter()
         self._sweep()
 
@@ -194,7 +54,8 @@
         outs = []
         for attempt in order.attempts:
             key = (attempt.part, attempt.attempt)
-            out = _Out(key, attempt, f"{attempt.query_name}.{attempt.shard}".encode())
+            id = f"{attempt.query_name}.{attempt.shard}".encode()
+            out = Leaving(key, attempt, id, attempt.leave_by)
             self.outs[key] = out
             outs.append(out)
         address = self._where(order.node)
@@ -206,10 +67,11 @@
             self._end_each(outs, of_transport(End.NO_PLACE))
             return
         for out in outs:
-            out.timer = self.loop.call_at(out.order.deadline, lambda out=out: self._expire(out))  # type: ignore[misc]
-        connection.put(_Frame(outs))
+            out.carrier = connection
+            self._arm(out)
+        connection.put(Frame(outs))
 
-    def _connection(self, node: NodeId, address: tuple[str, int], outs: list[_Out]) -> _Connection | None:
+    def _connection(self, node: NodeId, address: tuple[str, int], outs: list[Leaving]) -> Connection | None:
         now = self.loop.now
         held = self.connections.setdefault(node, [])
         for connection in held:
@@ -223,20 +85,24 @@
             ):
                 if all(link.may_carry(now, out.id) for out in outs):
                     return connection
-            elif link.room(now) and all(link.may_carry(now, out.id) for out in outs):
+            elif link.room(now, len(outs)) and all(link.may_carry(now, out.id) for out in outs):
                 return connection
         if len(held) >= self.most:
             self._make_room(held)
+        if self.open_count() >= self.most_open:
+            for ending in list(self.ending):
+                ending.close()
         if self.open_count() >= self.most_open:
             for others in list(self.connections.values()):
                 self._make_room(others)
         if len(held) >= self.most or self.open_count() >= self.most_open:
             return None
-        connection = _Connection(self, node, address)
+        self.counts["opened"] += 1
+        connection = Connection(self, node, address)
         self.connections.setdefault(node, []).append(connection)
         return connection
 
-    def _make_room(self, held: list[_Connection]) -> None:
+    def _make_room(self, held: list[Connection]) -> None:
         """Close one that nobody waits on."""
         for connection in held:
             if not connection.link.live and connection.dial is None:
@@ -247,24 +113,46 @@
         """Stop waiting for one attempt; others of its call go on."""
         out = self.outs.get((part, attempt))
         if out is not None:
-            if out.connection is not None:
-                out.connection.give_up(out)
+            if out.carrier is not None:
+                out.carrier.give_up(out)
             self.end(out, of_transport(End.STOPPED))
 
-    def _expire(self, out: _Out) -> None:
-        if out.key not in self.outs or out.connection is None:
+    def withdraw(self, part: int, attempt: int) -> None:
+        """What of one attempt has not left must not leave any more; one that has left goes on."""
+        out = self.outs.get((part, attempt))
+        if out is not None and not out.handed:
+            self.stop(part, attempt)
+
+    def leave_by(self, node: NodeId, at: int) -> None:
+        """Nothing that waits for a node begins to leave after ``at``."""
+        for connection in self.connections.get(node, ()):
+            for out in connection.link.live.values():
+                if isinstance(out, Leaving) and not out.handed and at < out.leave_by:
+                    out.leave_by = at
+                    self._arm(out)
+
+    def _arm(self, out: Leaving) -> None:
+        if out.timer is not None:
+            out.timer.cancel()
+        out.timer = self.loop.call_at(out.due(), lambda: self._due(out))
+
+    def _due(self, out: Leaving) -> None:
+        """Its time to leave, or to be answered, is over, if it has not got further meanwhile."""
+        if out.key not in self.outs or out.carrier is None:
+            return
+        if self.loop.now < out.due():
+            self._arm(out)
             return
-        # A frame that never left certainly did not run: the truth is that no connection came in time.
-        unsent = out.connection.give_up(out)
-        self.end(out, of_transport(End.DIAL_TIMEOUT if unsent else End.TIMEOUT))
+        never_ran = out.carrier.give_up(out)
+        self.end(out, of_transport(End.NOT_LEFT if never_ran else End.TIMEOUT))
 
-    def replied(self, out: _Out, reply: Reply) -> None:
+    def replied(self, out: Leaving, reply: Reply) -> None:
         """A whole reply to an attempt has come."""
         body = reply.value if reply.end == b"good" else None
         self.end(out, ENDS[reply.end], body, read_report(reply.report, self._fields))
 
     def end(
-        self, out: _Out, meaning: Meaning, body: str | None = None, report: tuple[float, ...] = ()
+        self, out: Leaving, meaning: Meaning, body: str | None = None, report: tuple[float, ...] = ()
     ) -> None:
         """An attempt has ended; told once."""
         if self.outs.pop(out.key, None) is None:
@@ -274,34 +162,41 @@
         self.counts[meaning.result.name.lower()] += 1
         self._ended(Ended(out.key[0], out.key[1], meaning.result, body, meaning.cause, report))
 
-    def _end_each(self, outs: list[_Out], meaning: Meaning) -> None:
+    def _end_each(self, outs: list[Leaving], meaning: Meaning) -> None:
         for out in outs:
             self.end(out, meaning)
 
-    def forget(self, connection: _Connection) -> None:
-        """A connection is closed."""
+    def forget(self, connection: Connection) -> None:
+        """A connection takes part in nothing any more; its socket may still be ending."""
+        self.ending.add(connection)
         held = self.connections.get(connection.node, [])
         if connection in held:
             held.remove(connection)
         if not held:
             self.connections.pop(connection.node, None)
 
+    def released(self, connection: Connection) -> None:
+        """A connection's socket is closed."""
+        self.ending.discard(connection)
+
     def close_node(self, node: NodeId) -> None:
         """A node is gone or drains: what nobody waits on is closed, the rest takes nothing new."""
         for connection in list(self.connections.get(node, ())):
             connection.link.retired = True
             if not connection.link.live:
-                connection.close()
+                connection.finish()
 
     def open_count(self) -> int:
-        """Connections now held."""
-        return sum(len(held) for held in self.connections.values())
+        """Sockets now held."""
+        return len(self.ending) + sum(len(held) for held in self.connections.values())
 
     def close(self) -> None:
         """Close everything; what was out is not told any more."""
         for held in list(self.connections.values()):
             for connection in list(held):
                 connection.close()
+        for connection in list(self.ending):
+            connection.close()
 
     def _sweep(self) -> None:
         """Give up connections whose reply has stalled, close those that take nothing new or idle for long."""
@@ -311,8 +206,6 @@
                 link = connection.link
                 if link.stalled(now):
                     connection.spoil(Spoilt("a reply that began does not go on"))
-                elif (
-                    connection.dial is None and not link.live and not connection.queue and not link.room(now)
-                ):
-                    connection.close()
+                elif connection.dial is None and not link.live and not link.room(now):
+                    connection.finish()  # which gives up whatever frames ``n`` still wait
         self.loop.call_in(SWEEP, self._sweep)
--- a/quincepath/platform/service.py
+++ b/quincepath/platform/service.py
@@ -23,12 +23,14 @@
     Ended,
     Finish,
     Input,
+    LeaveBy,
     Listed,
     ReadList,
     StartCall,
     StopAttempt,
     Told,
     Verdict,
+    Withdraw,
 )
 from quincepath.platform import places
 from quincepath.platform.clients import BadQuery, read_query, refusal, write_finish
@@ -274,6 +276,10 @@
                 self.nodes.start(order)
             case StopAttempt(part, attempt):
                 self.nodes.stop(part, attempt)
+            case Withdraw(part, attempt):
+                self.nodes.withdraw(part, attempt)
+            case LeaveBy(node, at):
+                self.nodes.leave_by(node, at)
             case Finish():
                 self._finish(order)
             case Told(text):
--- a/quincepath/upstream/outcomes.py
+++ b/quincepath/upstream/outcomes.py
@@ -19,9 +19,11 @@
     DIAL_TIMEOUT = "connection not established in time"
     NO_PLACE = "all connections to the holder are in use"
     UNLISTED = "the holder is on no list any more"
+    NOT_LEFT = "no connection took it while it was allowed to leave"
     LOST_UNSENT = "connection lost before any byte of the request was taken"
     LOST = "connection lost while the call was out"
     SPOILT = "given up with a connection on which an answer was spoilt"
+    BLOCKED = "given up with a connection on which a part could not leave whole"
     PROTOCOL = "the answer does not follow the protocol, or is over a limit"
     TIMEOUT = "no whole answer in time"
     STOPPED = "stopped waiting"
@@ -33,9 +35,11 @@
     End.DIAL_TIMEOUT: Result.CONNECT_FAILED,
     End.NO_PLACE: Result.CONNECT_FAILED,
     End.UNLISTED: Result.CONNECT_FAILED,
+    End.NOT_LEFT: Result.CONNECT_FAILED,
     End.LOST_UNSENT: Result.CONNECT_FAILED,
     End.LOST: Result.RESET,
     End.SPOILT: Result.CANCELLED,  # by this broker: the node did not fail them, and did not die
+    End.BLOCKED: Result.CANCELLED,  # by this broker, too
     End.PROTOCOL: Result.ERROR,
     End.TIMEOUT: Result.TIMEOUT,
     End.STOPPED: Result.CANCELLED,
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -67,12 +67,14 @@
             if letter == b"n":
                 self.dropped.append(rest.decode())
                 continue
-            line, _, text = rest.partition(b"\n")
-            part, shard, wait, length = line.decode().split(" ")
-            assert wait.startswith("d=") and int(length) == len(text)
-            self.seen.append((part, int(shard)))
-            act = self.acts.pop(0) if self.acts else self.always
-            self.loop.call_in(WORK, self._later(stream, act, part, text.decode()))
+            while rest:
+                line, _, rest = rest.partition(b"\n")
+                part, shard, wait, length = line.decode().split(" ")
+                text, rest = rest[: int(length)], rest[int(length) :]
+                assert wait.startswith("d=") and int(length) == len(text)
+                self.seen.append((part, int(shard)))
+                act = self.acts.pop(0) if self.acts else self.always
+                self.loop.call_in(WORK, self._later(stream, act, part, text.decode()))
 
     def _later(self, stream: Stream, act: str, part: str, text: str) -> Callable[[], None]:
         def reply() -> None:
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -44,6 +44,7 @@
     StopAttempt,
     Told,
     Verdict,
+    Withdraw,
 )
 from quincepath.policy import Aggregator
 from tests.helpers import MS, SECOND, START, entry, node_id, query_class, settings
@@ -270,7 +271,7 @@
     rig.ask()
     send(rig)
     orders = rig.step(ClientLeft(77), say=[Cancel(2, 0)])
-    assert orders == [StopAttempt(2, 0)]
+    assert orders == [Withdraw(2, 0), StopAttempt(2, 0)]
     assert rig.module.batches[-1] == [Left(1)]
     assert rig.driver.open_work() == 1
     rig.step(Ended(2, 0, Result.CANCELLED))
--- a/tests/test_hard_cases.py
+++ b/tests/test_hard_cases.py
@@ -529,7 +529,8 @@
             peer.stream.close(reset=True)
     # Before the broker's loop has seen that the idle connection is gone:
     fetch = PartFetch(((0, ask().queries[0]),))
-    order = AttemptOrder(901, 0, 0, 1, world.loop.at + SECOND, fetch, "x")
+    until = world.loop.at + SECOND
+    order = AttemptOrder(901, 0, 0, 1, until, until, until, fetch, "x")
     ended: list[Ended] = []
     upstream._ended = ended.append
     upstream.start(StartCall(node, (order,)))
