Signals are taken before there is a listener, none is lost in a crowd, a half file is read again

Orders that broke it: (1) SIGTERM or SIGINT between the listener's start and on_signals: the process died by the signal, and a request that the system had taken was lost (__main__: handlers after Broker()). (2) Either of them during the imports or the first call to discovery: ended by the signal, not with 0. (3) SIGHUP while the package itself was imported: python -m imports quincepath/__init__ and with it all decisions before __main__ runs a line, and the signal ended the process. (4) Some hundreds of SIGHUP in one turn, then SIGTERM: the wakeup descriptor's buffer was full, the byte of SIGTERM was lost and the process never ended (net/loop.on_signals read the numbers from there). (5) SIGHUP while the file was half written: nothing read it again.

Told from other causes by processes that stand still at the exact point (audit event, or right after listen) until the signal is sent; ruled out as sound before: a second SIGTERM, SIGHUP together with and after SIGTERM.

--- a/quincepath/net/loop.py
+++ b/quincepath/net/loop.py
@@ -41,6 +41,8 @@
         self._count = 0
         self._stopped = False
         self._wake: tuple[socket.socket, socket.socket] | None = None
+        self._on_signal: dict[signal.Signals, Callable[[], None]] = {}
+        self._came: dict[int, None] = {}  # signals that wait for their call
         self.turn_hooks: list[Callable[[], None]] = []
         # With this set, an error in one callback is told here and ends its connection, not the process.
         self.on_error: Callable[[Exception], None] | None = None
@@ -75,22 +77,24 @@
         return self.call_at(self.clock() + wait, call)
 
     def on_signals(self, names: dict[signal.Signals, Callable[[], None]]) -> None:
-        """Handle signals inside the loop, by the wakeup descriptor: never in the middle of a callback."""
+        """Handle signals inside the loop, by the wakeup descriptor: never in the middle of a callback.
+
+        The descriptor only ends the wait; what came is kept beside it. Guards against more signals in one
+        turn than its buffer takes (some hundreds): the bytes over it are lost, and with them a SIGTERM.
+        """
         ours, theirs = socket.socketpair()
         ours.setblocking(False)
         theirs.setblocking(False)
         self._wake = (ours, theirs)
+        self._on_signal = names
         signal.set_wakeup_fd(theirs.fileno(), warn_on_full_buffer=False)
         for name in names:  # after the descriptor is set: a signal in between would be lost
-            signal.signal(name, lambda *_: None)
-
-        def ready(_: int) -> None:
-            for number in ours.recv(64):
-                call = names.get(signal.Signals(number))
-                if call is not None:
-                    call()
+            signal.signal(name, lambda number, _: self._came.setdefault(number))
+        self.watch(ours, READ, lambda _: self._drain(ours))
 
-        self.watch(ours, READ, ready)
+    @staticmethod
+    def _drain(wake: socket.socket) -> None:
+        wake.recv(4096)
 
     def turn(self, longest: float = LONGEST_WAIT) -> None:
         """One turn; waits at most ``longest`` seconds."""
@@ -99,10 +103,14 @@
         wait, began = longest, self.clock()
         if self._timers:
             wait = min(max((self._timers[0][0] - began) / 1e9, 0.0), longest)
+        if self._came:
+            wait = 0.0  # one that comes from here on ends the wait
         ready = self._wait(wait)
         before, self.now = self.now, self.clock()
         self.lag = began - before + max(self.now - began - int(wait * 1e9), 0)
         self.turns += 1
+        while self._came:
+            self._guarded(self._on_signal[signal.Signals(self._came.popitem()[0])])
         for key, mask in ready:
             call: Any = key.data
             if self._selector.get_map().get(key.fd) is key:  # an earlier callback may have closed it
--- a/quincepath/platform/__main__.py
+++ b/quincepath/platform/__main__.py
@@ -1,22 +1,35 @@
 """``python -m quincepath.platform``: one broker on the platform, in the foreground, until SIGTERM."""
 
+import os
 import signal
+from types import FrameType
+
+EARLY: list[int] = []  # signals SIGHUP that came before there was a broker
+
+
+def _early(number: int, _: FrameType | None) -> None:
+    """Until the loop takes signals: without a listener nothing was taken, and the end may come at once."""
+    if number != signal.SIGHUP:
+        os._exit(0)
+    EARLY.append(number)
+
 
-EARLY: list[int] = []  # signals SIGHUP that came before the loop took them
 if __name__ == "__main__":
-    # Ahead of the other imports, which take long: by default the signal ends the process.
-    signal.signal(signal.SIGHUP, lambda number, _: EARLY.append(number))
+    # Ahead of the other imports, which take long: by default the signals end the process.
+    for name in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+        signal.signal(name, _early)
 
 import gc
 import logging
-import os
 import sys
 from logging import LogRecord
 
-from quincepath.net.loop import Loop
+from quincepath.net.loop import Loop, Timer
 from quincepath.platform.config import CONFIG, ConfigError, read_configuration, read_discovery
 from quincepath.platform.service import Broker
 
+REREAD = 250_000_000  # ns until a file that could not be used is read again, so often at most
+REREADS = 12
 LINES = 200  # of the log, at once; further ones are earned over time
 LINES_PER_SECOND = 5.0
 # Few young collections; a whole one (some ms: what lives as long as the process is frozen) whenever what has
@@ -69,24 +82,37 @@
         return 2
     loop = Loop()
     loop.on_error = lambda error: log.error("internal error", exc_info=error)
-    try:
-        broker = Broker(config, loop)
-    except OSError as error:
-        print(f"quincepath: listen {config.listen[0]}:{config.listen[1]}: {error.strerror}", file=sys.stderr)
-        return 2
+    broker: Broker | None = None
+    again: Timer | None = None
+
+    def end() -> None:
+        if broker is None:  # no listener, nothing was taken
+            raise SystemExit(0)
+        broker.stop(loop.stop)
 
-    def reload() -> None:
+    def reload(times: int = REREADS) -> None:
+        nonlocal again
+        if broker is None:
+            EARLY.append(signal.SIGHUP)
+            return
+        if again is not None:
+            again.cancel()
         try:
             with open(path, "rb") as file:
                 broker.move_discovery(read_discovery(file.read()))
         except (OSError, ConfigError) as error:
-            log.error("SIGHUP: configuration unusable, the one before stays in force: %s", error)
+            if times == REREADS:
+                log.error("SIGHUP: configuration unusable, the one before stays in force: %s", error)
+            if times:  # it may be half written
+                again = loop.call_in(REREAD, lambda: reload(times - 1))
 
-    loop.on_signals({
-        signal.SIGTERM: lambda: broker.stop(loop.stop),
-        signal.SIGINT: lambda: broker.stop(loop.stop),
-        signal.SIGHUP: reload,
-    })  # fmt: skip
+    # Ahead of the listener: who has connected is owed an answer, though the loop does not run yet.
+    loop.on_signals({signal.SIGTERM: end, signal.SIGINT: end, signal.SIGHUP: reload})
+    try:
+        broker = Broker(config, loop)
+    except OSError as error:
+        print(f"quincepath: listen {config.listen[0]}:{config.listen[1]}: {error.strerror}", file=sys.stderr)
+        return 2
     if EARLY:  # the file may have been read before it was replaced
         reload()
     gc.collect()
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -89,7 +89,9 @@
         program.end()
 
 
-@pytest.mark.parametrize("moment", ["import quincepath.platform.service", "socket.bind"])
+@pytest.mark.parametrize(
+    "moment", ["import quincepath.policy", "import quincepath.platform.service", "socket.bind"]
+)
 def test_sighup_while_the_process_starts_does_not_end_it_and_counts(moment: str, tmp_path: Path) -> None:
     with socket.create_server(("127.0.0.1", 0)) as moved:
         moved.settimeout(30)
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -51,6 +51,7 @@
             command,
             cwd=ROOT,
             env={**os.environ, "BALANCER_CONFIG": str(self.file), "PYTHONDONTWRITEBYTECODE": "1"},
+            stdin=subprocess.PIPE,  # a wrapper of a test may wait for a word
             stderr=subprocess.PIPE,
             text=True,
         )
@@ -87,8 +88,9 @@
         self.process.kill()
         self.process.wait()
         self.discovery.close()
-        assert self.process.stderr is not None
+        assert self.process.stderr is not None and self.process.stdin is not None
         self.process.stderr.close()
+        self.process.stdin.close()
 
 
 def test_run_is_one_process_by_exec_and_build_mends_an_environment_left_behind() -> None:
