Names are compared as given: two classes or tenants never fold into one, no name sets a setting

What broke it: config.plain spelled spaces and commas in names as '_', and the whole site was read from that text. 'a b' and 'a_b' were one class or tenant, the first in the list, so that one customer's requests ran under another's deadline and effect (clients._position). Zones and kinds were folded in the settings but not in discovery's list, so a zone with a space was unknown to the module (targets._entry), and an empty one moved the positions of all behind it (config._names). A line break of any kind in a name (LF to U+2028) began a new 'path=value' line and set another setting (flatten, Reader). Names in UTF-8 came out of the head as Latin-1 and were unknown. A class with a space could not be reached: its path escapes it.

Mend: the names come from the nested settings as given; what goes through the paths loses whatever ends a line; two names that a header cannot tell apart (equal, or but for blanks at the ends) are refused at the start by place, value and what was expected, and so is each unreadable setting; the class in the path is compared as it is or unescaped. Ids that two clients choose alike: decided, the second gets 409 as before (docs/design/platform.md says why).

Ruled out as sound before: a request with the id of an open one takes nothing from the first; a tenant's name with '%' or a space. Raw bytes over ASCII in a target are refused by the HTTP parser with 400, before and after.

--- a/quincepath/platform/__main__.py
+++ b/quincepath/platform/__main__.py
@@ -120,10 +120,8 @@
     gc.set_threshold(*GENERATIONS)
     log.info("broker %s serves on %s:%d, %s, most open %d", config.name, *config.listen, config.limits,
              config.site.max_open)  # fmt: skip
-    for spec in config.settings.classes:
-        log.info(
-            "class %s: target %.3f s, deadline %.3f s", spec.name, spec.target / 1e9, spec.deadline / 1e9
-        )
+    for name, spec in zip(config.site.classes, config.settings.classes, strict=True):
+        log.info("class %r: target %.3f s, deadline %.3f s", name, spec.target / 1e9, spec.deadline / 1e9)
     loop.run()
     broker.close()
     loop.close()
--- a/quincepath/platform/clients.py
+++ b/quincepath/platform/clients.py
@@ -7,12 +7,13 @@
 import math
 import re
 from collections.abc import Container
+from contextlib import suppress
 
 import msgspec
 
 from quincepath.net.http1 import Request
 from quincepath.orders import Ask, Finish, PartAsk, Verdict
-from quincepath.platform.config import Site, plain
+from quincepath.platform.config import BLANK, Site
 
 ID = re.compile(r"[A-Za-z0-9._~:-]{1,128}")
 DIGITS = re.compile(r"[0-9]{1,9}")
@@ -69,10 +70,31 @@
 
 
 def _position(names: tuple[str, ...], name: str, what: str, status: int) -> int:
+    """Where a name stands that came as bytes: in UTF-8, as the settings are, or else in Latin-1."""
+    with suppress(UnicodeError):
+        utf8 = name.encode("latin-1").decode()
+        for at, one in enumerate(names):
+            if one.strip(BLANK) == utf8:
+                return at
+    for at, one in enumerate(names):
+        if one.strip(BLANK) == name:
+            return at
+    raise BadQuery(status, f"{what} {name[:60]!r} is unknown")
+
+
+def _unquoted(path: str) -> str:
+    """A path without its percent escapes, byte for byte."""
+    head, *pieces = path.split("%")
     try:
-        return names.index(plain(name))
+        return head + "".join(chr(int(piece[:2], 16)) + piece[2:] for piece in pieces)
     except ValueError:
-        raise BadQuery(status, f"{what} {name[:60]!r} is unknown") from None
+        return path
+
+
+def _begins(path: str, name: str) -> bool:
+    """Whether a name is the first part of a path, as it is or with percent escapes."""
+    first = f"/{name}/"
+    return f"{path}/".startswith(first) or "%" in path and f"{_unquoted(path)}/".startswith(first)
 
 
 def _parts(body: bytes, site: Site) -> tuple[PartAsk, ...]:
@@ -108,7 +130,7 @@
     name = _header(request, ID_HEADER, ID)
     kind_name = _header(request, CLASS_HEADER)
     kind = _position(site.classes, kind_name, "class", 404)
-    if request.path.split("/")[1:2] != [kind_name]:
+    if not _begins(request.path, kind_name):
         raise BadQuery(404, f"path {request.path[:60]!r} does not begin with the class {kind_name!r}")
     tenant = 0
     if site.tenants:
--- a/quincepath/platform/config.py
+++ b/quincepath/platform/config.py
@@ -18,6 +18,8 @@
 CONFIG = "BALANCER_CONFIG"
 FALLBACK = {"listen": "BALANCER_LISTEN", "discovery": "BALANCER_DISCOVERY", "name": "BALANCER_NAME"}
 
+BLANK = " \t"  # around a header's value these say nothing
+
 
 class ConfigError(ValueError):
     """A variable or key is missing or unreadable; the text is one line."""
@@ -71,9 +73,9 @@
     site: Site
 
 
-def plain(name: str) -> str:
-    """A name as the paths spell it: without spaces and commas."""
-    return name.replace(" ", "_").replace(",", "_")
+def plain(text: str) -> str:
+    """A value as the paths spell it: without commas, spaces and whatever else could end a line."""
+    return "_".join(text.replace(",", " ").split())
 
 
 def _scalar(value: Any) -> str:
@@ -108,24 +110,51 @@
     return host, int(port)
 
 
-def _names(reader: Reader, path: str) -> tuple[str, ...]:
-    return tuple(item for item in reader.get(path, str, "").split(",") if item)
+def _text(value: Any, where: str) -> str:
+    if not isinstance(value, str):
+        raise SettingsError(f"setting {where}: {value!r}, a name in quotes was expected")
+    return value
+
+
+def _names(settings: Mapping[str, Any], path: str) -> tuple[str, ...]:
+    """A list of names, as given: positions count, an empty one too. Taken as the simulator spells it, too."""
+    value: Any = settings
+    for key in path.split("."):
+        value = value.get(key) if isinstance(value, Mapping) else None
+    if isinstance(value, str):
+        value = value.split(",") if value else []
+    elif not isinstance(value, list):
+        value = []
+    return tuple(_text(item, f"{path}.{at}") for at, item in enumerate(value))
+
+
+def _named(settings: Mapping[str, Any], key: str) -> tuple[str, ...]:
+    """The names of a list of objects, as given: ``a b`` and ``a_b`` are two."""
+    value = settings.get(key)
+    items = [item for item in value if isinstance(item, Mapping)] if isinstance(value, list) else []
+    names: dict[str, str] = {}
+    for at, item in enumerate(items):
+        where = f"{key}.{at}.name"
+        name = _text(item.get("name"), where)
+        other = names.setdefault(name.strip(BLANK), where)
+        if other != where:
+            raise SettingsError(f"setting {where}: {name!r}, another name than {other} has was expected")
+    return tuple(item["name"] for item in items)
 
 
-def _site(text: str) -> Site:
+def _site(text: str, settings: Mapping[str, Any]) -> Site:
     r = Reader(text)
-    tenants = range(r.get("tenants.count", int, 0))
     return Site(
-        classes=tuple(r.get(f"classes.{i}.name", str) for i in range(r.get("classes.count", int))),
-        tenants=tuple(r.get(f"tenants.{i}.name", str) for i in tenants),
-        zones=_names(r, "zones"),
-        kinds=_names(r, "kinds"),
+        classes=_named(settings, "classes"),
+        tenants=_named(settings, "tenants"),
+        zones=_names(settings, "zones"),
+        kinds=_names(settings, "kinds"),
         shards=r.get("specifics.shards", int),
         max_open=r.get("limits.maxOpen", int),
         streams=r.get("limits.maxStreams", int),
         grace=r.get("rules.drainGrace", int),
         must_ask=r.get("discovery", str, "push") == "ask",
-        report_fields=_names(r, "report.fields"),
+        report_fields=_names(settings, "report.fields"),
     )
 
 
@@ -153,7 +182,7 @@
         raise ConfigError(f"{where}: seed {file.seed!r} is not a number in hex digits") from None
     facts = "\n".join(flatten(file.settings))
     try:
-        settings, site = read_settings(facts), _site(facts)
+        settings, site = read_settings(facts), _site(facts, file.settings)
     except SettingsError as error:
         raise ConfigError(f"{where}: settings: {error}") from None
     return Configuration(
--- a/quincepath/settings.py
+++ b/quincepath/settings.py
@@ -1,7 +1,7 @@
 """Reads the startup text (one ``path=value`` a line) into ``Settings``; knows names and types, no values."""
 
 from collections.abc import Callable
-from typing import TypeVar
+from typing import Any, TypeVar
 
 from quincepath.interface import Effect, Limits, QueryClass, Rules, Settings
 
@@ -26,6 +26,19 @@
     return tuple(float(item) for item in _names(text))
 
 
+def _expected(read: Callable[[str], Any]) -> str:
+    """What a reader takes, in words."""
+    if read is Effect:
+        return " or ".join(effect.value for effect in Effect)
+    words = {
+        int: "a whole number",
+        float: "a number",
+        _flag: "true or false",
+        _numbers: "numbers with commas",
+    }
+    return words.get(read, "another value")
+
+
 class Reader:
     """Looks values up by path, so that an error can name the path."""
 
@@ -41,7 +54,9 @@
         try:
             return read(text)
         except (ValueError, OverflowError):
-            raise SettingsError(f"setting {path} is unreadable: {text!r}") from None
+            raise SettingsError(
+                f"setting {path} is unreadable: {text!r}, {_expected(read)} was expected"
+            ) from None
 
     def item(self, path: str, index: int, default: float | None = None) -> float:
         fallback: tuple[float, ...] | None = None if default is None else ()
