--- a/quincepath/net/http1.py
+++ b/quincepath/net/http1.py
@@ -178,29 +178,59 @@
 
 
 class ResponseReader(_Reader):
-    """Client side of one call at a time; ``done`` is set when its response is whole."""
+    """Client side of one call at a time; ``done`` is set when its response is whole.
+
+    A response that names no length ends with its connection: the owner says by ``end`` that the peer ended it
+    in order. Whoever never says so takes no such response.
+    """
 
     def __init__(self, limits: Limits) -> None:
         super().__init__(limits)
         self.done: Response | None = None
+        self._until_end = False  # the body that is read goes on until the connection ends
+        self._more = False  # something came behind a whole response
         self._parser = httptools.HttpResponseParser(self)
 
+    def on_message_begin(self) -> None:
+        super().on_message_begin()
+        self._until_end, self._more = False, self.done is not None
+
+    def on_headers_complete(self) -> None:
+        super().on_headers_complete()
+        status = self._parser.get_status_code()
+        framed = "content-length" in self._headers or "transfer-encoding" in self._headers
+        self._until_end = not framed and status >= 200 and status not in (204, 304)
+
     def on_message_complete(self) -> None:
         self.busy = False
-        if self._parser.get_status_code() >= 200:  # an interim answer is not the answer
-            self.done = Response(
-                self._parser.get_status_code(),
-                self._headers,
-                bytes(self._body),
-                self._parser.should_keep_alive(),
-            )
+        if self.done is None and self._parser.get_status_code() >= 200:  # an interim answer is not the answer
+            self.done = self._response(self._parser.should_keep_alive())
+
+    def _response(self, keep_alive: bool) -> Response:
+        return Response(self._parser.get_status_code(), self._headers, bytes(self._body), keep_alive)
 
     def feed(self, data: bytes) -> Response | None:
-        """Take bytes; the whole response once it is there. Raises ``HttpError``."""
-        self._feed(self._parser, data)
+        """Take bytes; the whole response once it is there. Raises ``HttpError``.
+
+        Of what comes behind a whole response nothing is read: it is kept, its connection is not.
+        """
+        try:
+            self._feed(self._parser, data)
+        except HttpError:
+            if self.done is None:
+                raise
         found, self.done = self.done, None
+        if found is not None and (self._more or self.error is not None):
+            found.keep_alive = False
         return found
 
+    def end(self) -> Response | None:
+        """The peer has ended the connection in order: the response that ends with it, if one does."""
+        if not self.busy or not self._until_end or self.error is not None:
+            return None
+        self.busy = False
+        return self._response(keep_alive=False)
+
 
 def _head(first: str, headers: dict[str, str]) -> bytes:
     lines = [first, *(f"{name}: {value}" for name, value in headers.items()), "", ""]
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -4,6 +4,7 @@
 """
 
 import json
+import random
 import socket
 import struct
 from collections import defaultdict
@@ -211,8 +212,13 @@
 
 
 def free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as probe:
-        return int(probe.getsockname()[1])
+    """Below those that the system gives to connections: one of these may take a port between two starts."""
+    while True:
+        try:
+            with socket.create_server(("127.0.0.1", random.randrange(10_000, 32_000))) as probe:
+                return int(probe.getsockname()[1])
+        except OSError:
+            continue
 
 
 class Client:
