A test of a full socket tells the loop so, too: it spun beside the new way to close

Its stream's `_flush` was replaced so that the system takes nothing, while the loop was still told that the socket is writable; the new closing watches for that, and virtual time does not pass while a socket is ready. The test now keeps the readiness back, too, as a full socket does. The program is not at fault: a socket that says it is writable takes a byte. One docstring of test_leaving said another thing than its test does.

--- a/tests/platform/test_leaving.py
+++ b/tests/platform/test_leaving.py
@@ -258,7 +258,7 @@
 
 
 def test_a_connection_to_nowhere_is_given_up_and_its_parts_never_ran() -> None:
-    """A listener whose backlog is full: the system answers no connect, as a machine that has vanished."""
+    """Nobody listens there any more."""
     edge = Edge()
     edge.node.listener.close()
     edge.start(1)
--- a/tests/platform/test_replies.py
+++ b/tests/platform/test_replies.py
@@ -1,10 +1,13 @@
 """What comes from nodes at a bad moment: half, in drips, twice, too late, or unread as we close."""
 
 import select
+import socket
+from collections.abc import Callable
 
 import pytest
 
 from quincepath.interface import Result
+from quincepath.net.loop import READ
 from quincepath.platform.link import FRAME_DIALS, STALL_DIALS
 from tests.standins.edge import BIG, DIAL, NODE, Edge
 from tests.standins.platform import MS, SECOND, frame
@@ -148,6 +151,12 @@
     stream = edge.connection.stream
     assert stream is not None
     monkeypatch.setattr(stream, "_flush", lambda: None)  # as a system that takes nothing
+    watch = edge.loop.watch
+
+    def full(sock: socket.socket, mask: int, call: Callable[[int], None]) -> None:
+        watch(sock, mask & READ if sock is stream.sock else mask, call)  # nor tells that it would
+
+    monkeypatch.setattr(edge.loop, "watch", full)
     edge.nodes.stop(1, 0)
     edge.nodes.stop(2, 0)
     assert edge.connection.queue and not edge.connection.link.live
