--- a/quincepath/broker/driver/core.py
+++ b/quincepath/broker/driver/core.py
@@ -219,7 +219,7 @@
             case Refuse(qid, retry_in):
                 query = self._owed(qid, "refuse")
                 if query is not None:
-                    self._finish(query, Verdict.REFUSED, retry_in, self._why_unanswered(query))
+                    self._refuse(query, retry_in)
             case Fail(qid):
                 query = self._owed(qid, "fail")
                 if query is not None:
@@ -287,6 +287,15 @@
             self._breach("second_final_answer", f"{what} for query {qid}, which is over or unknown")
         return query
 
+    def _refuse(self, query: OpenQuery, retry_in: int) -> None:
+        """A refusal promises that asking again does no harm; where that is not so the query fails instead."""
+        verdict = Verdict.REFUSED
+        new = {(o.part, o.attempt) for calls in self._calls.values() for call in calls for o in call}
+        if self.rules.effect_may_exist(query, new):
+            self._breach("refuse_may_have_run", f"query {query.id}")
+            verdict, retry_in = Verdict.FAILED, 0
+        self._finish(query, verdict, retry_in, self._why_unanswered(query))
+
     def _answer(self, qid: int, full: bool) -> None:
         query = self._owed(qid, "answer")
         if query is None:
--- a/quincepath/broker/driver/rules.py
+++ b/quincepath/broker/driver/rules.py
@@ -6,7 +6,7 @@
 
 from dataclasses import dataclass
 
-from quincepath.broker.driver.state import OpenPart
+from quincepath.broker.driver.state import OpenPart, OpenQuery
 from quincepath.interface import Effect, Members, NodeId, Phase, Result, Scope, Send, Settings
 
 PROVED_UNRUN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)  # endings after which no effect can exist
@@ -79,6 +79,16 @@
             return "send_past_grace"
         return ""
 
+    def effect_may_exist(self, query: OpenQuery, unsent: set[tuple[int, int]]) -> bool:
+        """Whether a query that must not run twice may have run; ``unsent``: attempts of this very batch."""
+        if self.settings.classes[query.ask.kind].effect is not Effect.UNSAFE:
+            return False
+        return any(
+            not attempt.never_ran and (part.id, number) not in unsent
+            for part in query.parts
+            for number, attempt in enumerate(part.attempts)
+        )
+
     def leave_by(self, node: NodeId) -> int:
         """Until when a send to this node may begin: so long after the news that it drains or is gone."""
         listed = self._nodes.get(node)
--- a/tests/test_driver_leaving.py
+++ b/tests/test_driver_leaving.py
@@ -5,10 +5,20 @@
 
 import pytest
 
-from quincepath.interface import Effect, Left, Outcome, Phase, Refuse, Result, Scope, Send
-from quincepath.orders import AttemptOrder, ClientLeft, Ended, LeaveBy, Order, StartCall, Withdraw
+from quincepath.interface import Effect, Left, Members, Outcome, Phase, Refuse, Result, Scope, Send
+from quincepath.orders import (
+    AttemptOrder,
+    ClientLeft,
+    Ended,
+    LeaveBy,
+    Listed,
+    Order,
+    StartCall,
+    Verdict,
+    Withdraw,
+)
 from tests.helpers import MS, SECOND, START, entry, node_id, query_class
-from tests.test_driver import GRACE, Rig, send
+from tests.test_driver import GRACE, Rig, finish, send
 
 WINDOW = 400 * MS
 KEYED = query_class(effect=Effect.KEYED, window=WINDOW)
@@ -103,6 +113,31 @@
     assert times(send(rig, node=2)) == (WINDOW, WINDOW, 2 * SECOND)
 
 
+@pytest.mark.parametrize(
+    ("result", "promised"), [*((r, False) for r in RAN), *((r, True) for r in NEVER_RAN)]
+)
+def test_a_query_that_may_have_run_and_must_not_twice_is_never_refused(
+    result: Result, promised: bool
+) -> None:
+    rig = rig_of(UNSAFE)
+    send(rig)
+    orders = rig.step(Ended(2, 0, result), say=[Refuse(1, SECOND)], after=MS)
+    assert rig.breaches(orders) == ([] if promised else ["refuse_may_have_run"])
+    assert finish(orders).verdict is (Verdict.REFUSED if promised else Verdict.FAILED)
+
+
+def test_a_query_with_an_unsafe_part_still_out_is_never_refused_but_what_is_sent_with_it_has_not_left() -> (
+    None
+):
+    rig = rig_of(UNSAFE)
+    rig.module.next = [Send(2, node_id(1), 0), Refuse(1, 0)]
+    assert finish(rig.driver.step(rig.now, [Listed(Members(Scope.DELTA, 2, ()))])).verdict is Verdict.REFUSED
+    rig = rig_of(UNSAFE)
+    send(rig)
+    orders = rig.step(Listed(Members(Scope.DELTA, 2, ())), say=[Refuse(1, 0)])
+    assert finish(orders).verdict is Verdict.FAILED
+
+
 # --- until when it may leave ---
 
 
