No answer that is still leaving goes for room, and an end behind more than one read is seen

Only half-closed ones go now. - A first request with more behind it than one read brings (256 KiB), after a rest of the listener: the look ahead of it found bytes, not the end, and it was sent on (both parts reached nodes). It is taken once nothing lies unread behind it; over 1 MiB the connection is broken off as before.

Tests seen failing before, each with the line concerned taken back.

--- a/quincepath/net/server.py
+++ b/quincepath/net/server.py
@@ -30,7 +30,7 @@
     """Nanoseconds: between requests, within one request's arrival, without a byte taken by the client.
 
     ``first``: from the connect until the first request is whole, 0 where that is as later ones. ``linger``:
-    how long a connection that was answered for the last time is still read from, so that the answer arrives.
+    how long a half-closed connection is still read from, so that what was said arrives.
     """
 
     idle: int
@@ -116,9 +116,7 @@
         if self.current is not None or self.closing or self.stream.pending:
             return
         if self.reader.done:
-            if not self.asked and self.stream.gone():  # it may have waited long for the accept
-                self.server.counts["gone_before_taken"] += 1
-                self.stream.fail("end of stream")
+            if not self.asked and not self._still_there():
                 return
             request = self.reader.done.popleft()
             self.arriving = self.reader.busy
@@ -133,6 +131,14 @@
         elif self.reader.dropped:
             self.end("read_ahead")
 
+    def _still_there(self) -> bool:
+        """Ahead of the first request: the connection may have waited long for the accept, its end with it."""
+        unread = self.stream.unread()
+        if unread == b"":
+            self.server.counts["gone_before_taken"] += 1
+            self.stream.fail("end of stream")
+        return unread is None  # what has come behind is read first, in the next turn
+
     def _drained(self) -> None:
         """Go on to what was sent ahead: not from within the handler, and one request a turn.
 
@@ -276,12 +282,16 @@
         loop.turn_hooks.append(self._look_for_ends)  # ahead of the hook that sends queries on
 
     def _held(self) -> int:
-        """Connections that hold a descriptor. At the bound the oldest that lingers goes for a new one.
+        """Connections that hold a descriptor. At the bound the oldest half-closed one goes for the next.
 
         Guards against a crowd that does not answer our half-close and thereby keeps the listener resting.
+        One whose answer is still leaving stays.
         """
-        while len(self.peers) >= self.most and self.lingering:
-            next(iter(self.lingering)).abandon("lingered_out")
+        if len(self.peers) >= self.most:
+            for peer in [peer for peer in self.lingering if peer.stream.state is State.HALF_CLOSED]:
+                peer.abandon("lingered_out")
+                if len(self.peers) < self.most:
+                    break
         return len(self.peers)
 
     def _look_for_ends(self) -> None:
--- a/quincepath/net/stream.py
+++ b/quincepath/net/stream.py
@@ -132,21 +132,22 @@
         except OSError:
             return
 
-    def quiet(self) -> bool:
-        """Whether nothing that the peer sent lies unread. An error or the end is nothing to be read."""
+    def unread(self) -> bytes | None:
+        """A look at what would be read next: None for nothing, no bytes for the peer's end or an error."""
         try:
-            return not self.sock.recv(1, socket.MSG_PEEK)
+            return self.sock.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return None
         except OSError:
-            return True
+            return b""
+
+    def quiet(self) -> bool:
+        """Whether nothing that the peer sent lies unread. An error or the end is nothing to be read."""
+        return not self.unread()
 
     def gone(self) -> bool:
         """Whether the peer's end, or a reset, is what would be read next."""
-        try:
-            return not self.sock.recv(1, socket.MSG_PEEK)
-        except (BlockingIOError, InterruptedError):
-            return False
-        except OSError:
-            return True
+        return self.unread() == b""
 
     def close(self, reset: bool = False) -> None:
         """Close at once without a word to ``on_close``; ``reset`` drops what is buffered and sends RST."""
--- a/tests/platform/test_closing.py
+++ b/tests/platform/test_closing.py
@@ -154,6 +154,34 @@
     assert not world.broker.counts["accept rests"] and not world.errors
 
 
+def test_at_the_bound_the_oldest_half_closed_goes_and_no_answer_that_is_leaving() -> None:
+    loop = VirtualLoop()
+    body = bytes(8 << 20)
+
+    def answer(exchange: Exchange) -> None:
+        exchange.request.keep_alive = False
+        exchange.respond(200, {}, body if exchange.request.path == "/big" else b"small")
+
+    server = HttpServer(loop, "127.0.0.1", 0, answer, Limits(), Times(*[60 * SECOND] * 5), 3)
+    clients = []
+    for path in (b"/big", b"/small", b"/small", b"/small"):
+        clients.append(socket.create_connection(("127.0.0.1", server.port)))
+        clients[-1].sendall(b"GET " + path + b" HTTP/1.1\r\nHost: x\r\n\r\n")
+        for _ in range(10):
+            loop.turn(0.001)
+    assert server.counts["lingered_out"] == 2 and not server.counts["accept_rests"]
+    assert [peer.stream.state.name for peer in server.peers] == ["DRAINING", "HALF_CLOSED"]
+    assert [read_all(client)[1] for client in clients[1:]] == ["end"] * 3
+    got, how = b"", "open"
+    while how == "open":
+        loop.turn(0.001)
+        more, how = read_all(clients[0])
+        got += more
+    assert how == "end" and len(got) > len(body)
+    server.close()
+    loop.close()
+
+
 @pytest.mark.parametrize("classes", [(2.0, 1.0), (2.0, 0.02)], ids=["usual", "short targets"])
 @pytest.mark.parametrize("kind", ["resting", "silent", "half a request", "answered last"])
 def test_a_client_that_never_ends_its_side_does_not_hold_the_process_up_to_the_kill(
--- a/tests/platform/test_gone.py
+++ b/tests/platform/test_gone.py
@@ -7,6 +7,7 @@
 
 from quincepath.net.http1 import AHEAD
 from quincepath.net.server import DROP_MOST
+from quincepath.net.stream import CHUNK
 from tests.standins.platform import MS, World
 from tests.standins.sockets import connect, peer_of, read_all
 
@@ -54,6 +55,19 @@
     assert not sent_on(world) and not world.broker.open and not world.errors
 
 
+def test_an_end_behind_more_than_one_read_is_seen_before_a_first_request_is_taken() -> None:
+    world = World()
+    world.broker.server.listener._rest("planted: out of descriptors")
+    client = connect(world)
+    client.setblocking(False)
+    much = world.request("all", (0, 1), Req_Id="gone") + HEALTH * 12_000
+    assert CHUNK < client.send(much) < DROP_MOST
+    client.close()
+    world.run(1)
+    assert world.broker.server.counts["accepted"] == 1 and not world.broker.server.peers
+    assert not sent_on(world) and not world.broker.open and not world.errors
+
+
 def test_who_left_in_a_long_turn_is_not_served_in_the_next() -> None:
     world = World()
     client = kept(world)
