Tests take a listening port that no outgoing connection is given

Seen twice in runs with two workers (test_start.py, "Address already in use" before "serves on"), never in a run of the file alone. At fault: a port was picked from 32768..60999, where the system also picks those of outgoing connections; until the broker's process listened, half a second later, a connection of a test in the other worker had it. Now it is picked below that range, and tried. `tests/test_fleet_processes.py` picks its ports in the same way as before; not touched here.

--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -29,6 +29,7 @@
 WORK = 5 * MS
 TIMES = Times(60 * SECOND, 60 * SECOND, 60 * SECOND)
 ID = "s-%08x"
+PORTS = random.SystemRandom()  # not the same for tests that run side by side
 
 
 def frame(letter: bytes, rest: bytes) -> bytes:
@@ -212,12 +213,13 @@
 
 
 def free_port() -> int:
-    """Below those that the system gives to connections: one of these may take a port between two starts."""
+    """Below the range from which the system picks ports of outgoing connections: else one of those, of a test
+    beside this, may hold it by the time the broker listens."""
     while True:
         try:
-            with socket.create_server(("127.0.0.1", random.randrange(10_000, 32_000))) as probe:
+            with socket.create_server(("127.0.0.1", PORTS.randrange(20_000, 32_000))) as probe:
                 return int(probe.getsockname()[1])
-        except OSError:
+        except OSError:  # taken
             continue
 
 
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from tests.standins.platform import site
+from tests.standins.platform import free_port, site
 
 ROOT = Path(__file__).parent.parent
 DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
@@ -42,8 +42,7 @@
     """One process as ``run`` starts it, with its file in a folder of its own."""
 
     def __init__(self, folder: Path, *command: str) -> None:
-        with socket.create_server(("127.0.0.1", 0)) as probe:
-            self.port = int(probe.getsockname()[1])
+        self.port = free_port()
         self.discovery = socket.create_server(("127.0.0.1", 0))
         self.file = folder / "config.json"
         self.write(f"127.0.0.1:{self.discovery.getsockname()[1]}")
