A whole request behind one just answered is not idle; ending connections are not among those kept

- Between an answer and the turn of the request behind it, `Peer.arriving` said only whether the parser was in the middle of one: with the second request read whole, the connection counted as idle, and the close of the door (or a search for room) dropped it.
Seen: 2 answers of 3.
Whole requests that wait count now.
- `Broker._keep` bounds connections that brought queries.
One that is half-closed was among them until its client ended, and a good one was closed in its place.
Those that are ending go first, without a word.

tests/platform/test_closing.py, two tests, the first seen failing before the mend, the second with its line taken back to scan for closed or idle ones in the order of use.

--- a/quincepath/net/server.py
+++ b/quincepath/net/server.py
@@ -119,7 +119,7 @@
             if not self.asked and not self._still_there():
                 return
             request = self.reader.done.popleft()
-            self.arriving = self.reader.busy
+            self.arriving = self.reader.busy or bool(self.reader.done)
             self.since = self.server.loop.now
             self.asked = True
             exchange = self.current = Exchange(self, request)
--- a/quincepath/platform/service.py
+++ b/quincepath/platform/service.py
@@ -190,10 +190,11 @@
         self._bringers.pop(peer, None)
         self._bringers[peer] = None
         if len(self._bringers) > self.room.kept:
-            oldest = next((p for p in self._bringers if p.stream.closed or not p.busy), None)
+            ending = next((p for p in self._bringers if p.closing), None)
+            oldest = ending or next((p for p in self._bringers if not p.busy), None)
             if oldest is not None:
                 del self._bringers[oldest]
-                if not oldest.stream.closed and oldest.waits():
+                if oldest.waits():
                     oldest.end("cut, unused for longest")
 
     def _make_room(self, server: HttpServer, newest: Peer) -> None:
--- a/tests/platform/test_closing.py
+++ b/tests/platform/test_closing.py
@@ -215,6 +215,47 @@
         assert got.startswith(b"HTTP/1.1 408 ")
 
 
+def test_a_whole_request_behind_one_just_answered_is_not_idle_when_the_door_closes() -> None:
+    """It is read and waits for its turn in the moment in which connections between requests are closed."""
+    world = World()
+    client = connect(world)
+    client.sendall(HEALTH)
+    world.run(0.05)
+    server = world.broker.server
+    client.sendall(HEALTH * 2)
+    assert world.until(lambda: server.counts["requests"] == 2)
+    assert peer_of(world, client).reader.done, "its turn has come already: this proves nothing"
+    server.drain()
+    world.run(0.1)
+    got, how = read_all(client)
+    assert got.count(b"HTTP/1.1 200 ") == 3 and how == "end"
+
+
+def test_connections_that_are_ending_count_among_those_kept_no_more() -> None:
+    """Else good ones that brought queries go in their place while they linger."""
+    world = World(limits={"sockets": 96})
+    held = []
+
+    def bring() -> None:
+        held.append(connect(world))
+        held[-1].sendall(world.request("all", (0,)))
+        whole = world.broker.counts["whole"]
+        assert world.until(lambda: world.broker.counts["whole"] > whole)
+
+    for _ in range(world.broker.room.kept):
+        bring()
+    good, bad = held[:8], held[8:]
+    for client in bad:
+        client.sendall(b"nonsense\r\n\r\n")
+    world.run(0.02)
+    assert len(world.broker.server.lingering) == len(bad)
+    for _ in range(4):
+        bring()
+    world.run(0.02)
+    assert len(world.broker.server.lingering) == len(bad), "their time is over: this proves nothing"
+    assert [read_all(client)[1] for client in good] == ["open"] * 8
+
+
 def test_who_comes_while_the_listener_is_put_away_is_let_in(monkeypatch: pytest.MonkeyPatch) -> None:
     """Between the last accept and the close there was a call to the selector."""
     world = World()
