Keyed parts: no resend at the window's edge, no cut for a short window; an honest second step

Ruled out by reading: a keyed part whose second attempt never ran after a first that may have stays risky (learning.py: only a first and only attempt that is proved unrun clears risky_since).

--- a/quincepath/policy/ending.py
+++ b/quincepath/policy/ending.py
@@ -33,7 +33,7 @@
         if enough and not self._too_late_for_second(query):
             self._answer(query, False)
             return
-        risky = any(p.ok or p.risky_since is not None for p in query.parts)
+        risky = query.step > 1 or any(p.ok or p.risky_since is not None for p in query.parts)
         if risky and query.spec.effect is not Effect.SAFE:
             self.out.append(Fail(query.id))  # an effect may exist: no promise
         else:
--- a/quincepath/policy/sending.py
+++ b/quincepath/policy/sending.py
@@ -6,7 +6,7 @@
 from quincepath.policy.nodes import Call, Node
 from quincepath.policy.queries import Attempt, PartState, QueryState
 from quincepath.policy.suspicion import Suspicion
-from quincepath.policy.tuning import BLOCKED_RETRY, MEMORY_LEAST, MEMORY_MOST, RESEND_PATIENCE
+from quincepath.policy.tuning import ANSWER_TICKS, BLOCKED_RETRY, MEMORY_LEAST, MEMORY_MOST, RESEND_PATIENCE
 from quincepath.policy.tuning import RESEND_PATIENCE_CROWDED, SPARE_LEAST, SPARE_MOST, SPARE_SHARE
 from quincepath.policy.tuning import SPARE_SHARE_CALM, WINDOW_SHARE
 
@@ -96,7 +96,7 @@
             return True
         spec = part.query.spec
         if spec.effect is Effect.KEYED:
-            return self.now < part.risky_since + spec.window
+            return self.now + ANSWER_TICKS * self.settings.tick < part.risky_since + spec.window
         return spec.effect is Effect.SAFE
 
     def _memory(self) -> int:
@@ -138,7 +138,7 @@
         wait = int(patience * self._late_after(query))
         if query.spec.effect is Effect.KEYED:  # a resend has to go out while repeats are still dropped
             wait = min(wait, int(WINDOW_SHARE * query.spec.window))
-        return min(left, wait)
+        return min(left, wait) if wait >= self._late_after(query) else left  # sound ones are not cut off
 
     def _next_look(self, query: QueryState, blocked: bool) -> int:
         late = self._late_after(query)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -562,3 +562,31 @@
             broker.advance(10 * MS)
         assert len(broker.policy.budget.taken) <= most
         assert not broker.policy.budget.extra
+
+
+@pytest.mark.parametrize("effect", [Effect.UNSAFE, Effect.KEYED])
+def test_a_second_step_that_cannot_be_sent_fails_the_query_whose_first_step_ran(effect: Effect) -> None:
+    broker = Broker(settings((query_class(effect=effect, second_step=1),)), nodes=[entry(0, 0)])
+    _, parts, _ = broker.query([0])
+    broker.end(parts[0])
+    _, got = broker.more_parts([1])  # nobody holds it
+    assert of(got, Fail) and not of(got, Refuse)
+
+
+@pytest.mark.parametrize(("window", "before"), [(SECOND, 5 * MS), (SECOND, 1), (4 * MS, 2 * MS), (1, 0)])
+def test_no_keyed_part_is_resent_so_late_that_it_may_leave_after_its_window(window: int, before: int) -> None:
+    """What is decided leaves the process a little later: past the window a repeat would run a second time."""
+    broker = Broker(settings((query_class(effect=Effect.KEYED, window=window),)))
+    _, parts, _ = broker.query([0])
+    broker.advance(window - before)
+    got = broker.end(parts[0], Result.TIMEOUT)
+    got += broker.advance(SECOND)
+    assert not of(got, Send) and not of(got, Refuse) and len(of(got, Fail)) == 1
+
+
+@pytest.mark.parametrize("window", [1, 4 * MS, 100 * MS])
+def test_a_window_too_short_for_a_resend_does_not_cut_sound_attempts_off(window: int) -> None:
+    spec = query_class(target=2 * SECOND, effect=Effect.KEYED, window=window, late_worth=0.0)
+    broker = Broker(settings((spec,), limits={"duplicate": False}))
+    broker.query([0])
+    assert broker.sends[-1].timeout == 2 * SECOND
