A rule of zero does not break the module; what each query asks most often is asked cheaper

Found on reading the token bucket of cold nodes: `_warmth` divides by rampTime for every node now (before only for one that had started), and `_fill` by overloadFor and fallMultiple: with 0 in the settings each batch would have been lost to the module (`module_failed`). The new test sets each to zero; with the guards taken out it was not run.

By a profile: `Stream.closed` as a property, warmth worked out for nodes that never started, the window's first attempt looked up for classes without a window, a suppressed exception for each name.

--- a/quincepath/broker/driver/rules.py
+++ b/quincepath/broker/driver/rules.py
@@ -106,5 +106,6 @@
         Counted from the decision of the first attempt that may have run: that attempt itself may have
         counted later, which leaves more time than is taken here, never less.
         """
-        spec, first = self.settings.classes[part.query.ask.kind], part.first_run()
-        return NEVER if spec.effect is not Effect.KEYED or first is None else first + spec.window
+        spec = self.settings.classes[part.query.ask.kind]
+        first = part.first_run() if spec.effect is Effect.KEYED else None
+        return NEVER if first is None else first + spec.window
--- a/quincepath/net/stream.py
+++ b/quincepath/net/stream.py
@@ -45,6 +45,7 @@
         self.unsent = 0  # bytes that the system had not taken when it was closed
         self.progress_at = self.state_at = loop.now
         self.state = State.OPEN
+        self.closed = False  # whether the socket was given back; asked too often for a property
         self._reading = True
         self._on_finished: Callable[[], None] | None = None
         self._discard = 0
@@ -54,11 +55,6 @@
         self._mask = READ
         loop.watch(sock, READ, self._ready)
 
-    @property
-    def closed(self) -> bool:
-        """Whether the socket was given back."""
-        return self.state is State.CLOSED
-
     def write(self, *chunks: bytes) -> None:
         """Send in order; nothing happens once the last was said."""
         if self.state is not State.OPEN:
@@ -153,7 +149,7 @@
         """Close at once without a word to ``on_close``; ``reset`` drops what is buffered and sends RST."""
         if self.closed:
             return
-        self.state, self.state_at = State.CLOSED, self.loop.now
+        self.state, self.state_at, self.closed = State.CLOSED, self.loop.now, True
         self._out.clear()
         self.unsent, self.pending = self.pending, 0
         # Whoever holds this stream is held by these: cut, so that both go at once and not at some collection.
--- a/quincepath/platform/clients.py
+++ b/quincepath/platform/clients.py
@@ -71,6 +71,8 @@
 
 def _position(names: tuple[str, ...], name: str, what: str, status: int) -> int:
     """Where a name stands that came as bytes: in UTF-8, as the settings are, or else in Latin-1."""
+    if name.isascii() and name in names:  # commonly so
+        return names.index(name)
     with suppress(UnicodeError):
         utf8 = name.encode("latin-1").decode()
         for at, one in enumerate(names):
--- a/quincepath/policy/cold.py
+++ b/quincepath/policy/cold.py
@@ -11,8 +11,8 @@
 class ColdNodes(State):
     def _warmth(self, node: Node, at: int) -> float:
         """Least share of its capacity that a node has then, by the stated ramp."""
-        age = max((at - node.cold_from) / self.rules.ramp_time, EPSILON)
-        return min(1.0, self.rules.cold_share + (1 - self.rules.cold_share) * age)
+        age, share = (at - node.cold_from) / max(self.rules.ramp_time, 1), self.rules.cold_share
+        return 1.0 if age >= 1 else share + (1 - share) * max(age, EPSILON)
 
     def _chill(self, node: Node, since: int) -> None:
         """It started then. Tokens of before now may be spent: guards against brokers that all restart now."""
@@ -24,17 +24,17 @@
     def _fill(self, node: Node, kind: int) -> float:
         """Rule 4: a token bucket for parts to a cold node; returns its rate. A token held too long is lost.
 
-        Over any interval all brokers then send at most what came in it and shortly before, whatever their
-        load and however many restart. What may be held is taken from the rate, but for the root.
+        Over any interval all brokers then send what came in it and shortly before, whoever restarts or rests.
         """
         # A token pays for the dearest part met; the rule counts by class, a second step's like a first's.
         work = max(x.work for (of, at), x in self.latency.items() if at == 1 and (x.seen_at or of == kind))
-        flow = COLD_CORES * self.rules.fall_multiple * self._warmth(node, (node.filled_at + self.now) // 2)
-        most = flow * self.rules.overload_for / (work + self.settings.call_work)  # of all, in an interval
+        over, multiple = max(self.rules.overload_for, 1), max(self.rules.fall_multiple, EPSILON)
+        flow = COLD_CORES * multiple * self._warmth(node, (node.filled_at + self.now) // 2)
+        most = flow * over / (work + self.settings.call_work)  # of all brokers, in an interval
         held = min(math.sqrt(self.settings.instances / most), COLD_HELD_MOST)
-        rate = most * (1 - held) / self.rules.overload_for / self.settings.instances
+        rate = most * (1 - held) / over / self.settings.instances
         node.next_token, node.filled_at = node.next_token + rate * (self.now - node.filled_at), self.now
-        hold = self.rules.overload_for * (held + 1 / math.sqrt(most)) / (1 - held)
+        hold = over * (held + 1 / math.sqrt(most)) / (1 - held)
         if node.next_token >= 1:
             node.tokens = min(node.tokens + int(node.next_token), max(rate * hold, 1.0))
             node.next_token %= 1
--- a/tests/test_cold_nodes.py
+++ b/tests/test_cold_nodes.py
@@ -84,3 +84,14 @@
         broker.policy._fill(node, 0)
         seen.add(node.tokens)
     assert seen == {0.0, 1.0}, "it came and went"
+
+
+@pytest.mark.parametrize("name", ["ramp_time", "overload_for", "fall_multiple", "cold_share"])
+@pytest.mark.parametrize("since", [0, 100 * SECOND])
+def test_a_rule_of_zero_does_not_break_the_module(name: str, since: int) -> None:
+    config = settings(instances=3)
+    config = replace(config, rules=replace(config.rules, **{name: 0}))
+    broker = Broker(config, nodes=[entry(0, 0, since=since)])
+    broker.advance(SECOND)
+    broker.query([0])
+    assert broker.sends or since
