--- a/quincepath/platform/connection.py
+++ b/quincepath/platform/connection.py
@@ -138,6 +138,7 @@
             # past its window, or beside its resend. Only the end of the connection keeps it from running; by
             # a reset, so that calls which the system still holds do not come late either.
             text = "it took no more bytes"
+            self.owner.on_event("blocked connection", self.node, text)
             self.end_all(of_transport(End.LOST_UNSENT, text), of_transport(End.BLOCKED, text), reset=True)
             return True
         for frame in self.queue:
--- a/quincepath/platform/nodes.py
+++ b/quincepath/platform/nodes.py
@@ -144,6 +144,7 @@
             self._arm(out)
             return
         never_ran = out.carrier.give_up(out)
+        self.counts["not_left"] += never_ran
         self.end(out, of_transport(End.NOT_LEFT if never_ran else End.TIMEOUT))
 
     def replied(self, out: Leaving, reply: Reply) -> None:
--- a/quincepath/platform/service.py
+++ b/quincepath/platform/service.py
@@ -32,7 +32,7 @@
     Verdict,
     Withdraw,
 )
-from quincepath.platform import places
+from quincepath.platform import places, status
 from quincepath.platform.clients import BadQuery, read_query, refusal, write_finish
 from quincepath.platform.config import Address, Configuration
 from quincepath.platform.discovery import Discovery
@@ -321,37 +321,8 @@
     # --- what is believed, and what is so ---
 
     def state(self) -> dict[str, Any]:
-        """Counts, and the driver's outstanding attempts beside the connections' own, by node."""
-        believed: Counter[str] = Counter()
-        for part in self.driver.parts.values():
-            for attempt in part.attempts:
-                if not attempt.ended:
-                    believed[attempt.node.decode("ascii", "replace")] += 1
-        open_now = {
-            node.decode("ascii", "replace"): [
-                {
-                    "address": f"{c.address[0]}:{c.address[1]}", "out": len(c.link.live),
-                    "given_up": len(c.link.given_up), "dialling": c.dial is not None,
-                    "retired": c.link.retired,
-                }
-                for c in held
-            ]
-            for node, held in self.nodes.connections.items()
-        }  # fmt: skip
-        return {
-            "counts": dict(self.counts), "attempts": dict(self.nodes.counts),
-            "clients": len(self.server.peers),
-            "server": dict(self.server.counts), "open": len(self.open), "held": self.driver.held(),
-            "lingering": self.driver.lingering(), "out": dict(believed), "connections": open_now,
-            "list": {
-                (name := node.decode("ascii", "replace")): {
-                    "cell": known.cell, "phase": known.phase.name, "out": believed[name],
-                    "age_s": round((self.loop.now - known.since) / 1e9, 1) if known.since else None,
-                }
-                for node, known in self.targets.nodes.items()
-            },
-            "version": self.targets.version,
-        }  # fmt: skip
+        """What is believed and what is so, for ``/-/state``."""
+        return status.of(self)
 
     def _report(self) -> None:
         self.loop.call_in(REPORT, self._report)
--- /dev/null
+++ b/quincepath/platform/status.py
@@ -0,0 +1,41 @@
+"""What a broker tells of itself: its counts, what it believes is out, and what its connections hold."""
+
+from collections import Counter
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from quincepath.platform.service import Broker
+
+
+def of(broker: "Broker") -> dict[str, Any]:
+    """Counts, and the driver's outstanding attempts beside the connections' own, by node."""
+    believed: Counter[str] = Counter()
+    for part in broker.driver.parts.values():
+        for attempt in part.attempts:
+            if not attempt.ended:
+                believed[attempt.node.decode("ascii", "replace")] += 1
+    open_now = {
+        node.decode("ascii", "replace"): [
+            {
+                "address": f"{c.address[0]}:{c.address[1]}", "out": len(c.link.live),
+                "given_up": len(c.link.given_up), "dialling": c.dial is not None,
+                "retired": c.link.retired,
+            }
+            for c in held
+        ]
+        for node, held in broker.nodes.connections.items()
+    }  # fmt: skip
+    return {
+        "counts": dict(broker.counts), "attempts": dict(broker.nodes.counts),
+        "clients": len(broker.server.peers),
+        "server": dict(broker.server.counts), "open": len(broker.open), "held": broker.driver.held(),
+        "lingering": broker.driver.lingering(), "out": dict(believed), "connections": open_now,
+        "list": {
+            (name := node.decode("ascii", "replace")): {
+                "cell": known.cell, "phase": known.phase.name, "out": believed[name],
+                "age_s": round((broker.loop.now - known.since) / 1e9, 1) if known.since else None,
+            }
+            for node, known in broker.targets.nodes.items()
+        },
+        "version": broker.targets.version,
+    }  # fmt: skip
--- a/tests/platform/test_leaving.py
+++ b/tests/platform/test_leaving.py
@@ -173,6 +173,9 @@
     unrun = Result.CONNECT_FAILED if over in ("whole_by", "deadline") else Result.CANCELLED
     assert edge.results()[half] is unrun
     assert edge.results()[1] is Result.CONNECT_FAILED, "what waited behind it never left either"
+    assert edge.events == ["blocked connection"] and edge.nodes.counts["not_left"] == (
+        unrun is Result.CONNECT_FAILED
+    )
     assert {edge.results()[one] for one in handed if one in edge.results()} <= {Result.CANCELLED, Result.OK}
     edge.flow()
     edge.run(50 * MS)
