Names: descriptors, evict and pausing the accepts, where it said places, victim and rest

Need: where our words hide a standard idea they are renamed as the code is touched. platform/places.py is descriptors.py (allot, evict, Shares), a listener that may not accept pauses (`_pause_accepting`, count `accepting_paused`, log line `accepting paused`), the end of serving drains the clients (`_drain_clients`).

--- a/quincepath/broker/service/core.py
+++ b/quincepath/broker/service/core.py
@@ -146,7 +146,7 @@
             Limits(listen.max_headers, listen.max_body),
             Times(listen.idle_timeout, listen.request_timeout, listen.write_timeout),
             listen.max_connections,
-            lambda why: self.log.warning("accept rests", cause=why),
+            lambda why: self.log.warning("accepting paused", cause=why),
             most_per_address=listen.max_connections_per_address,
         )  # fmt: skip
         self.metrics_server = HttpServer(
--- a/quincepath/net/server.py
+++ b/quincepath/net/server.py
@@ -255,7 +255,7 @@
         limits: Limits,
         times: Times,
         most: int,
-        on_rest: Callable[[str], None] = lambda why: None,
+        on_paused: Callable[[str], None] = lambda why: None,
         on_peer: Callable[[Peer], None] = lambda peer: None,
         most_per_address: int = 0,
         make_room: Callable[["HttpServer", Peer], None] = lambda server, peer: None,
@@ -272,11 +272,11 @@
         self.counts: Counter[str] = Counter()
         self.draining = False  # idle connections are closed
 
-        def rest(why: str) -> None:
-            self.counts["accept_rests"] += 1
-            on_rest(why)
+        def paused(why: str) -> None:
+            self.counts["accepting_paused"] += 1
+            on_paused(why)
 
-        self.listener = Listener(loop, host, port, self._accept, self._held, most, rest)
+        self.listener = Listener(loop, host, port, self._accept, self._held, most, paused)
         self.port = self.listener.port
         self._sweep()
         loop.turn_hooks.append(self._look_for_ends)  # ahead of the hook that sends queries on
--- a/quincepath/net/stream.py
+++ b/quincepath/net/stream.py
@@ -15,7 +15,7 @@
 _ROOM = memoryview(bytearray(CHUNK))
 BACKLOG = 1024  # connections that the system holds until they are accepted
 LAST_READS = 8  # reads before a close at a bound: 2 MiB, more than a receive buffer commonly holds
-RESERVE_PAUSE = 100_000_000  # ns that a listener rests when accepting fails for want of descriptors
+ACCEPT_PAUSE = 100_000_000  # ns for which a listener pauses when accepting fails for want of descriptors
 
 
 def _ignore(_: bytes | str) -> None:
@@ -228,9 +228,9 @@
 
 
 class Listener:
-    """Accepts on one address. At ``most`` open streams, or out of descriptors, it rests instead of spinning.
+    """Accepts on one address. At ``most`` open streams, or out of descriptors, it pauses and does not spin.
 
-    ``open_streams()`` tells how many are open; ``on_rest(why)`` is told of each rest.
+    ``open_streams()`` tells how many are open; ``on_paused(why)`` is told of each pause.
     """
 
     def __init__(
@@ -241,10 +241,10 @@
         on_accept: Callable[[socket.socket], None],
         open_streams: Callable[[], int],
         most: int,
-        on_rest: Callable[[str], None] = lambda why: None,
+        on_paused: Callable[[str], None] = lambda why: None,
     ) -> None:
         self.loop, self._on_accept, self._open, self.most = loop, on_accept, open_streams, most
-        self._on_rest = on_rest
+        self._on_paused = on_paused
         self.sock = socket.create_server((host, port), backlog=BACKLOG)
         self.sock.setblocking(False)
         self.port: int = self.sock.getsockname()[1]
@@ -257,7 +257,7 @@
     def _accept(self, turns: int, most: int) -> None:
         for _turn in range(turns):
             if self._open() >= most:
-                self._rest("connection limit reached")
+                self._pause_accepting("connection limit reached")
                 return
             try:
                 sock, _addr = self.sock.accept()
@@ -266,17 +266,17 @@
             except OSError as error:
                 if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
                     # The waiting client stays in the backlog; a ready listener would spin the loop.
-                    self._rest(error.strerror or str(error))
+                    self._pause_accepting(error.strerror or str(error))
                     return
                 raise
             self._on_accept(sock)
 
-    def _rest(self, why: str) -> None:
-        self._on_rest(why)
+    def _pause_accepting(self, why: str) -> None:
+        self._on_paused(why)
         if self.closed:  # it accepts for the last time
             return
         self.loop.watch(self.sock, 0, self._ready)
-        self.loop.call_in(RESERVE_PAUSE, self._wake)
+        self.loop.call_in(ACCEPT_PAUSE, self._wake)
 
     def _wake(self) -> None:
         if not self.closed:
--- a/quincepath/platform/places.py
+++ b/quincepath/platform/descriptors.py
@@ -26,7 +26,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Places:
+class Shares:
     """Most connections."""
 
     clients: int
@@ -34,11 +34,11 @@
     kept: int
 
 
-def split(descriptors: int) -> Places:
+def allot(descriptors: int) -> Shares:
     """Divide what the process may hold."""
     free = max(descriptors - RESERVE, 16)
     clients = int(free * CLIENT_SHARE)
-    return Places(clients, free - clients, max(int(descriptors * KEPT_SHARE), 8))
+    return Shares(clients, free - clients, max(int(descriptors * KEPT_SHARE), 8))
 
 
 class Connection(Protocol):
@@ -70,7 +70,7 @@
     return 1 + connection.valued, connection.since  # between requests; who brings queries goes later
 
 
-def victim(now: int, connections: Iterable[C]) -> C | None:
+def evict(now: int, connections: Iterable[C]) -> C | None:
     """The connection to close for a new one; None where none can be spared: then the new one goes.
 
     Those with an open request are left out before any is looked at: guards against a crowd under which the
--- a/quincepath/platform/service.py
+++ b/quincepath/platform/service.py
@@ -32,7 +32,7 @@
     Verdict,
     Withdraw,
 )
-from quincepath.platform import places, status
+from quincepath.platform import descriptors, status
 from quincepath.platform.clients import BadQuery, read_query, refusal, write_finish
 from quincepath.platform.config import Address, Configuration
 from quincepath.platform.discovery import Discovery
@@ -84,11 +84,11 @@
         self._failure_told = False  # to the module, since then or since it asked
         self.on_ended: Callable[[], None] | None = None
         self.slowest_turn = self.latest = 0
-        room = places.split(config.limits.sockets)
+        room = descriptors.allot(config.limits.sockets)
         limits = config.settings.limits
         self.nodes = Nodes(
             loop, config.site.streams, LinkTimes(limits.connect_timeout, limits.idle_close),
-            places.NODE_MOST, room.nodes, self._where, self._ended, config.site.report_fields,
+            descriptors.NODE_MOST, room.nodes, self._where, self._ended, config.site.report_fields,
             self._node_event,
         )  # fmt: skip
         self.room = room
@@ -106,9 +106,12 @@
         loop.run_until(lambda: self._watched, FIRST_NEWS)
         self.server = HttpServer(
             loop, config.listen[0], config.listen[1], self._request,
-            Limits(places.HEAD_MOST, places.BODY_MOST),
-            Times(places.IDLE, places.REQUEST, places.WRITE, places.FIRST, places.LINGER),
-            room.clients + 8, self._rest, make_room=self._make_room,
+            Limits(descriptors.HEAD_MOST, descriptors.BODY_MOST),
+            Times(
+                descriptors.IDLE, descriptors.REQUEST, descriptors.WRITE,
+                descriptors.FIRST, descriptors.LINGER,
+            ),
+            room.clients + 8, self._accepting_paused, make_room=self._make_room,
         )  # fmt: skip
         loop.turn_hooks.append(self._turn)
         loop.call_in(REPORT, self._report)
@@ -200,14 +203,14 @@
     def _make_room(self, server: HttpServer, newest: Peer) -> None:
         if len(server.peers) - len(server.lingering) <= self.room.clients:
             return
-        found = places.victim(self.loop.now, (peer for peer in server.peers if peer is not newest))
+        found = descriptors.evict(self.loop.now, (peer for peer in server.peers if peer is not newest))
         if found is None:
             newest.end("cut as it came")
         else:
             found.end("cut for room" if found.valued else "cut for room, brought nothing")
 
-    def _rest(self, why: str) -> None:
-        self.counts["accept rests"] += 1
+    def _accepting_paused(self, why: str) -> None:
+        self.counts["accepting paused"] += 1
 
     # --- nodes and their list ---
 
@@ -356,9 +359,9 @@
         self.stopping = True
         self.on_ended = on_ended
         self.ending.begin(self.loop.now)
-        self.loop.call_at(self.ending.takes_until(), self._close_door)
+        self.loop.call_at(self.ending.takes_until(), self._drain_clients)
 
-    def _close_door(self) -> None:
+    def _drain_clients(self) -> None:
         self.server.drain()
         assert self.ending.end is not None
         self.loop.call_at(self.ending.end, self.server.break_off)
--- a/tests/platform/test_closing.py
+++ b/tests/platform/test_closing.py
@@ -13,7 +13,7 @@
 from quincepath.net.http1 import Limits
 from quincepath.net.server import Exchange, HttpServer, Peer, Times
 from quincepath.net.stream import Listener
-from quincepath.platform import places
+from quincepath.platform import descriptors
 from tests.standins.platform import MS, SECOND, World
 from tests.standins.sockets import Moment, connect, peer_of, read_all
 
@@ -39,11 +39,11 @@
 
 
 WAYS: dict[str, tuple[str, Callable[[World], None]]] = {
-    "idle for long": ("asked", lambda world: world.run(places.IDLE / SECOND + 1)),
+    "idle for long": ("asked", lambda world: world.run(descriptors.IDLE / SECOND + 1)),
     "for room": ("silent", crowd),
     "unused for longest": ("asked", others_ask),
-    "silent since its connect": ("silent", lambda world: world.run(places.FIRST / SECOND + 1)),
-    "half a request": ("half", lambda world: world.run(places.REQUEST / SECOND + 1)),
+    "silent since its connect": ("silent", lambda world: world.run(descriptors.FIRST / SECOND + 1)),
+    "half a request": ("half", lambda world: world.run(descriptors.REQUEST / SECOND + 1)),
     "told to end": ("asked", end),
     "told to end, silent": ("silent", end),
 }  # fmt: skip
@@ -145,13 +145,13 @@
         held.append(connect(world))
         world.run(0.001)
         most = max(most, len(world.broker.server.peers))
-    assert most <= world.broker.room.clients + 8 and not world.broker.counts["accept rests"]
+    assert most <= world.broker.room.clients + 8 and not world.broker.counts["accepting paused"]
     assert world.ask("all", (0, 1)).status == 200
     ready = connect(world)
     ready.sendall(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
     world.run(0.05)
     assert read_all(ready)[0].startswith(b"HTTP/1.1 200 ")
-    assert not world.broker.counts["accept rests"] and not world.errors
+    assert not world.broker.counts["accepting paused"] and not world.errors
 
 
 def test_at_the_bound_the_oldest_half_closed_goes_and_no_answer_that_is_leaving() -> None:
@@ -169,7 +169,7 @@
         clients[-1].sendall(b"GET " + path + b" HTTP/1.1\r\nHost: x\r\n\r\n")
         for _ in range(10):
             loop.turn(0.001)
-    assert server.counts["lingered_out"] == 2 and not server.counts["accept_rests"]
+    assert server.counts["lingered_out"] == 2 and not server.counts["accepting_paused"]
     assert [peer.stream.state.name for peer in server.peers] == ["DRAINING", "HALF_CLOSED"]
     assert [read_all(client)[1] for client in clients[1:]] == ["end"] * 3
     got, how = b"", "open"
--- a/tests/platform/test_floods.py
+++ b/tests/platform/test_floods.py
@@ -7,7 +7,7 @@
 import pytest
 
 from quincepath.net.http1 import HttpError, Limits, RequestReader
-from quincepath.platform import places
+from quincepath.platform import descriptors
 from tests.standins.platform import MS, SECOND, World
 from tests.standins.sockets import connect, peer_of, read_all
 
@@ -117,7 +117,7 @@
         client.send(STATE)
         world.run(0.05)
         assert 0 < peer.stream.pending <= held and counts["requests"] == taken
-    world.run(places.WRITE / SECOND)
+    world.run(descriptors.WRITE / SECOND)
     assert peer.stream.closed and counts["slow_readers"] == 1
     assert world.ask("all", (0, 1)).status == 200 and not world.errors
 
@@ -139,7 +139,7 @@
         if got:
             break
     assert got.startswith(b"HTTP/1.1 408 ") and how == "end"
-    assert world.loop.at - began < places.REQUEST + 2 * SECOND
+    assert world.loop.at - began < descriptors.REQUEST + 2 * SECOND
 
 
 def test_many_that_send_much_and_go_leave_nothing_behind() -> None:
--- a/tests/platform/test_gone.py
+++ b/tests/platform/test_gone.py
@@ -44,7 +44,7 @@
     """Its request and its end lie behind each other when it is accepted."""
     world = World()
     listener = world.broker.server.listener
-    listener._rest("planted: out of descriptors")
+    listener._pause_accepting("planted: out of descriptors")
     client = connect(world)
     client.sendall(world.request("all", (0, 1), Req_Id="gone"))
     if way == "reset":
@@ -57,7 +57,7 @@
 
 def test_an_end_behind_more_than_one_read_is_seen_before_a_first_request_is_taken() -> None:
     world = World()
-    world.broker.server.listener._rest("planted: out of descriptors")
+    world.broker.server.listener._pause_accepting("planted: out of descriptors")
     client = connect(world)
     client.setblocking(False)
     much = world.request("all", (0, 1), Req_Id="gone") + HEALTH * 12_000
--- a/tests/platform/test_list_answers.py
+++ b/tests/platform/test_list_answers.py
@@ -9,7 +9,7 @@
 import pytest
 
 from quincepath.interface import Phase
-from quincepath.platform import places
+from quincepath.platform import descriptors
 from quincepath.platform.list_clock import ANSWER, PAUSE
 from quincepath.platform.targets import Target, TargetList
 from tests.platform.test_start import refused
@@ -282,8 +282,8 @@
     """Also with every connection to nodes open: the parts and the reserve are all that a process may hold."""
     world = World(limits={"sockets": 64})
     agent = Agent(world.loop)
-    room = places.split(64)
-    assert room.clients + 8 + room.nodes + places.RESERVE - 8 <= 64
+    room = descriptors.allot(64)
+    assert room.clients + 8 + room.nodes + descriptors.RESERVE - 8 <= 64
     world.broker.move_discovery(("127.0.0.1", 1))
     idle = [socket.create_connection(("127.0.0.1", world.port)) for _ in range(100)]
     world.run(1)
--- a/tests/test_hard_cases.py
+++ b/tests/test_hard_cases.py
@@ -335,7 +335,7 @@
                 fillers.append(os.dup(0))
         turns = world.loop.turns
         world.run(0.35)
-        assert world.broker.server.counts["accept_rests"] >= 2
+        assert world.broker.server.counts["accepting_paused"] >= 2
         assert world.loop.turns - turns < 40
     finally:
         for number in fillers:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -15,7 +15,7 @@
 from quincepath.interface import Action, Event, Outcome, Phase, Result, Settings
 from quincepath.net.loop import Loop
 from quincepath.net.stream import Stream
-from quincepath.platform import places
+from quincepath.platform import descriptors
 from quincepath.policy import Aggregator
 from tests.standins.platform import MS, SECOND, Client, World, value_of
 
@@ -477,17 +477,17 @@
             for stream in [stream for node in world.nodes for stream in node.streams]:
                 stream.close()
             world.run(3)
-        broker._bringers.clear()  # a few of the last that brought queries, bounded by ``Places.kept``
+        broker._bringers.clear()  # a few of the last that brought queries, bounded by ``Shares.kept``
         assert len(freed) >= 3 and not any(ref() for ref in freed)
     finally:
         gc.enable()
 
 
 def test_descriptors_are_split_with_a_reserve() -> None:
-    for descriptors in (64, 256, 384, 1024):
-        room = places.split(descriptors)
-        assert room.clients + room.nodes + places.RESERVE <= descriptors
-        assert room.clients >= descriptors // 3
+    for most in (64, 256, 384, 1024):
+        room = descriptors.allot(most)
+        assert room.clients + room.nodes + descriptors.RESERVE <= most
+        assert room.clients >= most // 3
 
 
 def test_a_crowd_that_asks_for_nothing_does_not_drive_out_clients() -> None:
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -11,10 +11,10 @@
 
 from quincepath.interface import Phase, Scope
 from quincepath.platform.config import ConfigError, flatten, read_configuration
+from quincepath.platform.descriptors import evict
 from quincepath.platform.ending import Ending
 from quincepath.platform.frames import CallPart, FrameReader, Spoilt, call_frame, give_up_frame, read_report
 from quincepath.platform.link import Link, LinkTimes
-from quincepath.platform.places import victim
 from quincepath.platform.targets import BadList, Target, TargetList, Targets, read_list
 from quincepath.settings import read_settings
 from tests.standins.platform import MS, SECOND, frame, site
@@ -258,7 +258,7 @@
     ]
     held += [Held("client", True, 30, valued=True), Held("asked once", True, 31), Held("silent", False, 32)]
     names = []
-    while (found := victim(SECOND, held)) is not None:
+    while (found := evict(SECOND, held)) is not None:
         names.append(found.name)
         held.remove(found)
     assert names == ["silent", "asked once", "client", "new"]
--- a/tests/test_rings.py
+++ b/tests/test_rings.py
@@ -31,7 +31,7 @@
     ("order", "standins/leaf.py", "from quincepath.lab.record import Got"),
     ("order", "lab/fleet/verdict.py", "import quincepath.cli.main"),
     ("turns", "cli/main.py", "import concurrent.futures"),
-    ("platform", "platform/places.py", "from quincepath.fleet import budget"),
+    ("platform", "platform/descriptors.py", "from quincepath.fleet import budget"),
     ("platform", "orders.py", "import quincepath.config.values"),  # by a chain
     ("adapter", "drill.py", "import msgspec"),
     ("adapter", "settings.py", "from quincepath.shards import shardmap"),
