A shared list service that says it cannot is asked less often: back-off within the list's clock

Each broker came again 75 to 125 ms after each refusal (`Discovery._rest`, `pause_of`), so that all together kept a service full that serves some calls a second.

Where the list must be asked for, the pause doubles from the third answer in a row with a status, up to 1 s; any other failure, a good answer or SIGHUP ends it. An agent of the machine's own is asked as before. Tests on real sockets in virtual time: 5 failed without the change, 2 guard the agent's case and the return to the short pause and pass on both.

--- a/quincepath/platform/discovery.py
+++ b/quincepath/platform/discovery.py
@@ -19,7 +19,8 @@
     for anew, whole; it raises ``ValueError`` if the body is unusable.
 
     ``whole``: the whole list was asked for. ``failed(why)`` is told of each call that brought nothing.
-    ``wait``: ms that a watch may be held. How long all takes at the worst: ``list_clock``.
+    ``wait``: ms that a watch may be held; ``shared``: by one service for all brokers. How long all takes at
+    the worst: ``list_clock``.
     """
 
     def __init__(
@@ -30,12 +31,15 @@
         failed: Callable[[str], None],
         seed: int,
         wait: int,
+        shared: bool = False,
     ) -> None:
         self.loop, self.address, self.wait = loop, address, wait
         self._told, self._failed = told, failed
         self._random = random.Random(seed)
         self.version: int | None = None  # None: the whole list is asked for
         self.failures = 0  # calls in a row that brought nothing
+        self.shared = shared  # by all brokers, that is: no agent of this machine's own
+        self.refusals = 0  # of these, the last in a row that a shared service answered, saying that it cannot
         self._dial: Dial | None = None
         self._stream: Stream | None = None
         self._reader = ResponseReader(Limits(body=BODY_MOST))
@@ -49,7 +53,7 @@
     def move(self, address: tuple[str, int]) -> None:
         """Discovery is elsewhere now: the call that is out is dropped, the whole list is asked for there."""
         self.address = address
-        self.failures = 0
+        self.failures = self.refusals = 0
         self.version = None
         self._drop()
         self._call()
@@ -123,7 +127,8 @@
     def _answered(self, response: Response) -> None:
         assert self._timer is not None
         if response.status != 200:
-            self._fail(f"status {response.status}")
+            refusals = self.refusals + 1 if self.shared else 0
+            self._fail(f"status {response.status}", refusals)
             return
         before = self.version
         try:
@@ -133,7 +138,7 @@
             return
         self._timer.cancel()
         self._timer = None
-        self.failures = 0
+        self.failures = self.refusals = 0
         if not response.keep_alive:
             self._drop()
         if self.version is None or (self.version == before and self.loop.clock() < self._held_until):
@@ -142,14 +147,15 @@
         else:
             self._call()
 
-    def _fail(self, text: str) -> None:
+    def _fail(self, text: str, refusals: int = 0) -> None:
         self._drop()
         self.failures += 1
+        self.refusals = refusals
         self._failed(text)
         self._rest()
 
     def _rest(self) -> None:
-        self._pause = self.loop.call_in(pause_of(self._random.random()), self._call)
+        self._pause = self.loop.call_in(pause_of(self._random.random(), self.refusals), self._call)
 
     def fail(self, text: str) -> None:
         """After an error of this program: the call ends, the next one follows."""
--- a/quincepath/platform/list_clock.py
+++ b/quincepath/platform/list_clock.py
@@ -25,6 +25,9 @@
 AGAIN = 100 * MS  # mean pause after a call that brought nothing: a watch goes on if it is renewed in 200 ms
 SPREAD = 0.25  # of that pause, to either side: brokers that failed together must not come again in step
 PAUSE = int(AGAIN * (1 + SPREAD))  # the longest
+# Where the list must be asked for, one service answers all brokers and may say (by a status)
+# that it cannot. From the third such answer in a row on the pause doubles, up to so many times: what the sums have room for.
+BACK_OFF_MOST = 8
 
 
 def wait_of(longest: int, failures: int) -> int:
@@ -37,9 +40,14 @@
     return ANSWER if failures < SLOW else PATIENT
 
 
-def pause_of(share: float) -> int:
-    """The pause (ns) after a call that brought nothing; ``share`` is drawn from 0 to 1."""
-    return int(AGAIN * (1 - SPREAD + 2 * SPREAD * share))
+def pause_of(share: float, refusals: int = 0) -> int:
+    """The pause (ns) after a call that brought nothing; ``share`` is drawn from 0 to 1.
+
+    ``refusals``: answers in a row by which a shared service said that it cannot serve. Guards against a fleet
+    that asks a service eight times a second each because it has too much to do.
+    """
+    back_off: int = min(2 ** min(max(refusals - 2, 0), 10), BACK_OFF_MOST)
+    return int(back_off * AGAIN * (1 - SPREAD + 2 * SPREAD * share))
 
 
 def lost(wait: int, failures: int) -> int:
@@ -65,5 +73,8 @@
     "second call of an outage": worst(lost(WAIT_AGAIN, 1), 2),
     "later call of an outage": worst(lost(WAIT_AGAIN, SLOW), SLOW + 1),
     "pause of an outage": worst(PAUSE, SLOW + 1),
+    "pause after refusals by a shared service, and one more": (
+        2 * pause_of(1.0, SLOW + BACK_OFF_MOST) + WAIT_AGAIN * MS + 2 * answer_of(SLOW)
+    ),
 }
 AFTER_MOVE = worst(lost(0, 0), 1)  # SIGHUP: the first call to the new address is lost
--- a/quincepath/platform/service.py
+++ b/quincepath/platform/service.py
@@ -99,7 +99,7 @@
                 log.error("the list of the configuration is unusable: %s", error)
         self.discovery = Discovery(
             loop, config.discovery, self._discovered, self._discovery_failed, config.seed + 2,
-            WAIT_ASKED if config.site.must_ask else WAIT_PUSHED,
+            WAIT_ASKED if config.site.must_ask else WAIT_PUSHED, shared=config.site.must_ask,
         )  # fmt: skip
         # What the agent has counts as told from the first moment, and ``known`` may be older: no client is
         # let in before it has spoken, or had the time: a call that breaks off is made again within that.
--- a/tests/platform/test_list_clock.py
+++ b/tests/platform/test_list_clock.py
@@ -221,3 +221,40 @@
     agent.calls.clear()
     world.run(2)
     assert not agent.stormed and 10 < len(agent.calls) < 60
+
+
+@pytest.mark.parametrize("phase", range(5))
+def test_a_shared_service_that_says_it_cannot_is_asked_less_and_less_and_heard_in_time(phase: int) -> None:
+    """All brokers ask the same service: eight calls a second of each, while it is full, keep it full."""
+    world, agent = world_of("ask")
+    agent.always = "bad_status"
+    agent.reset()  # the open watch
+    world.run(8 + 0.23 * phase)
+    late = [at for at, _ in agent.calls if at > agent.calls[0][0] + 4 * SECOND]
+    assert 3 <= len(late) <= 7
+    agent.tell(world.entry(0, "DRAINING"))
+    agent.always, agent.fates = "well", ["still"]
+    assert held_in(world, world.loop.at) <= WITHIN
+
+
+def test_an_agent_of_this_machine_is_asked_again_without_back_off() -> None:
+    """What it gets at discovery's return counts at once, and its answers cost nothing."""
+    world, agent = world_of("push")
+    agent.always = "bad_status"
+    agent.reset()
+    world.run(8)
+    agent.tell(world.entry(0, "DRAINING"))
+    agent.always = "well"
+    assert held_in(world, world.loop.at) <= PAUSE + 20 * MS
+
+
+def test_after_a_refusal_that_is_over_the_first_pause_is_short_again() -> None:
+    world, agent = world_of("ask")
+    agent.always = "bad_status"
+    agent.reset()
+    world.run(8)
+    agent.always = "well"
+    assert world.until(lambda: bool(agent.waiting), 5)
+    began = world.loop.at
+    agent.reset()
+    assert world.until(lambda: bool(agent.waiting), 5) and world.loop.at - began <= PAUSE + 20 * MS
