--- a/quincepath/platform/list_clock.py
+++ b/quincepath/platform/list_clock.py
@@ -25,8 +25,8 @@
 AGAIN = 100 * MS  # mean pause after a call that brought nothing: a watch goes on if it is renewed in 200 ms
 SPREAD = 0.25  # of that pause, to either side: brokers that failed together must not come again in step
 PAUSE = int(AGAIN * (1 + SPREAD))  # the longest
-# Where the list must be asked for, one service answers all brokers and may say (by a status)
-# that it cannot. From the third such answer in a row on the pause doubles, up to so many times: what the sums have room for.
+# Where the list must be asked for, one service answers all brokers and may say (by a status) that it cannot.
+# From the third such answer in a row on the pause doubles, up to so many times: what the sums have room for.
 BACK_OFF_MOST = 8
 
 
