Replay: drawn worlds of wide queries with failures, drains, cold nodes and shared nodes

The recorded scripts have queries of a few parts, so they show little of a change that is meant for 130 parts. The new command `draw` of benchmarks/replay_decisions.py plays one of seventeen drawn worlds around the module and keeps its events and actions in the form that `record` writes: all or some parts needed, partial answers, failing nodes, drains and whole lists, parts that share four or two shards, keyed and unsafe classes, second steps, a budget, an allowance, joined calls.

--- a/benchmarks/replay_decisions.py
+++ b/benchmarks/replay_decisions.py
@@ -1,14 +1,16 @@
 """Recorded events through two versions of the decision module: are the actions the same, byte for byte?
 
     python -m benchmarks.replay_decisions record examples/incidents/holders-hang.yaml hang.events
+    python -m benchmarks.replay_decisions draw shared --seed 3 shared.events
     git worktree add ../before COMMIT
     python -m benchmarks.replay_decisions compare ../before . hang.events day.wire
 
 Two kinds of file. ``NAME.events``: what ``record`` writes, a script run in virtual time with this tree's
-module; JSON lines, a broker's start or one call of ``handle`` with its events and what it returned. Any other
-name: what came in on the standard input of ``quincepath.drill``; where ``NAME.out`` stands beside it, that is
-what went out. Each file is played in a process of its own for each tree, which imports ``quincepath`` from
-there alone. Ends with 1 where a tree differs from the other or from the record, or where nothing was played.
+module, or ``draw``, a drawn world of ``benchmarks/replay_worlds.py`` (queries of 130 parts); JSON lines, a
+broker's start or one call of ``handle`` with its events and what it returned. Any other name: what came in on
+the standard input of ``quincepath.drill``; where ``NAME.out`` stands beside it, that is what went out. Each
+file is played in a process of its own for each tree, which imports ``quincepath`` from there alone. Ends with
+1 where a tree differs from the other or from the record, or where nothing was played.
 """
 
 import os
@@ -174,6 +176,24 @@
     click.echo(f"{out}: {len(recorder.entries)} entries")
 
 
+@main.command("draw")
+@click.argument("case")
+@click.argument("out", type=click.Path(path_type=Path))
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
+def draw_command(case: str, out: Path, seed: int) -> None:
+    """Play a drawn world around this tree's module and keep its events and actions."""
+    from benchmarks.replay_worlds import CASES, World, case_settings
+
+    if case not in CASES:
+        raise click.BadParameter(f"{case}: one of {', '.join(CASES)} was expected")
+    if out.suffix != EVENTS:
+        raise click.BadParameter(f"{out}: the name has to end in {EVENTS}")
+    recorder = Recorder()
+    World(CASES[case], recorder.make(case_settings(CASES[case]), seed), seed).play()
+    out.write_bytes(b"".join(msgspec.json.encode(entry) + b"\n" for entry in recorder.entries))
+    click.echo(f"{out}: {len(recorder.entries)} entries")
+
+
 @main.command("play")
 @click.argument("tree", type=click.Path(exists=True, path_type=Path))
 @click.argument("file", type=click.Path(exists=True, path_type=Path))
