Virtual time over an in-memory network: the same play, byte for byte

The run of brokers, nodes and clients in one process was called virtual, yet twelve plays of one script and seed gave ten results. Two plays side by side, with each turn's ready sockets logged, differ in the first turn: a broker's boot number comes of os.urandom and seeds the order in which it probes and joins. With that replaced, two plays were equal on a calm machine; what was left were kernel sockets (the clock jumps when loopback brings nothing within a real millisecond; epoll's order; ephemeral ports), the wall clock (the order among equals changes with its hour) and the process's own memory (the memory circuit).

What the loop and the edge take from the operating system is now one class, net/system.py: sockets, selector, wall clock, entropy, memory use. The real one makes the calls that were made before; the laboratory's is an in-memory network with Linux's errors, where readiness is told in the order of the sockets. InsideRun uses it.

--- a/quincepath/broker/service/core.py
+++ b/quincepath/broker/service/core.py
@@ -1,6 +1,5 @@
 """One broker, put together: its parts in their order, the metrics page, and its end."""
 
-import time
 from collections.abc import Callable
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -72,15 +71,16 @@
             shards.unlabelled == "everywhere",
             sets if config.fleet is not None and config.fleet.topology is not None else None,
         )
-        source = ListSource(config, self.map, base, clock=loop.clock)
+        system = loop.system
+        source = ListSource(config, self.map, base, lambda: system.wall_ns() / 1e9, loop.clock)
         settings = module_settings(config)
-        seed = config.broker.seed or time.time_ns()
+        seed = config.broker.seed or system.wall_ns()
         module = make_module(settings, seed)
         desk: Desk[Reply] = Desk(
             book_limits(config.asks, config.broker.tick), admission_bounds(config.limits), seed
         )
         self.holders = Holders(source, loop, config.roster_poll, self.log, self.metrics, self.told)
-        self.traces = open_traces(config, base, seed, loop.clock)
+        self.traces = open_traces(config, base, seed, loop)
         if self.traces is not None:
             self.guests.add(Tracing(self.traces, self.holders.name))
         self.memory = MemoryWatch(
--- a/quincepath/broker/service/figures.py
+++ b/quincepath/broker/service/figures.py
@@ -63,6 +63,11 @@
         )  # fmt: skip
 
 
+def _resident_bytes() -> int:
+    """What this process holds."""
+    return int(psutil.Process().memory_info().rss)
+
+
 class MemoryWatch:
     """Tells the circuit how much the process holds; the size comes from the system. ``press`` hears changes.
 
@@ -79,7 +84,7 @@
         serving: Callable[[], bool],
     ) -> None:
         self.circuit = MemoryCircuit(most)
-        self.resident: Callable[[], int] = lambda: int(psutil.Process().memory_info().rss)
+        self.resident: Callable[[], int] = loop.system.resident_bytes or _resident_bytes
         self.loop, self.metrics, self.log, self.press = loop, metrics, log, press
         self.serving = serving
 
--- a/quincepath/broker/service/tracing.py
+++ b/quincepath/broker/service/tracing.py
@@ -1,6 +1,5 @@
 """Traces as a guest of the broker: spans of asks and of their attempts."""
 
-import time
 from collections.abc import Callable, Mapping
 from pathlib import Path
 
@@ -12,15 +11,16 @@
 from quincepath.fronts.remote_read.front import Reply
 from quincepath.fronts.remote_read.plan import Plan
 from quincepath.interface import NodeId
+from quincepath.net.loop import Loop
 from quincepath.observe.traces import Traces
 from quincepath.orders import Ended, StartCall
 
 
-def open_traces(config: Config, base: Path, seed: int, clock: Callable[[], int]) -> Traces | None:
+def open_traces(config: Config, base: Path, seed: int, loop: Loop) -> Traces | None:
     """The file that the configuration names; None where it names none."""
     if config.traces.file is None:
         return None
-    started = time.time_ns() - clock()
+    started = loop.system.wall_ns() - loop.clock()
     path = base / config.traces.file
     return Traces(path, config.traces.share, seed, config.broker.number, lambda at: started + at)
 
--- a/quincepath/fleet/agreed.py
+++ b/quincepath/fleet/agreed.py
@@ -4,7 +4,6 @@
 the broker serves queries all the same.
 """
 
-import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -103,7 +102,7 @@
         """Have a mark committed: when it takes effect here, all that was committed before it has."""
         if self._closed or self.maps is None:
             return
-        wall = int(time.time() * 1000)
+        wall = self.loop.system.wall_ms()
         mark = ReadMap(f"read {self.entry.member} {self.maps.boot} {wall}", self.entry.member, wall)
         self.command(mark, self._was_read)
 
@@ -287,7 +286,7 @@
         if said is not None:
             for name in others:
                 self._post(name, said)
-        wall = int(time.time() * 1000)
+        wall = self.loop.system.wall_ms()
         for data in self.maps.sampled(now, wall, self.leader):
             self._post(self.leader, Sampled(data))
         step = self.maps.next(now, wall) if self.leads else None
@@ -315,7 +314,7 @@
         if isinstance(command, MAP_COMMANDS):
             if self.maps is None:
                 return data, f"{FINAL}the leader's fleet: section has no topology:"
-            filled, why = self.maps.judge(command, self.loop.clock(), int(time.time() * 1000))
+            filled, why = self.maps.judge(command, self.loop.clock(), self.loop.system.wall_ms())
             return encode(filled), f"{FINAL}{why}"[:200] if why else ""
         command, why = self.hooks.judge(command)
         return encode(command), f"{FINAL}{why}"[:200] if why else ""
@@ -370,7 +369,7 @@
                 waits = self.progress.waits_for(self.machine.state.permits[name], brokers, left, now)
                 drains.append({"name": name, "done": not waits, "waits_for": waits})
         return {
-            **self.machine.status(int(time.time() * 1000)),
+            **self.machine.status(self.loop.system.wall_ms()),
             "member": self.entry.member,
             "drains": drains,
             "progress_at": "" if self.keeper is not None else f"keepers {', '.join(self.keepers)} know",
--- a/quincepath/fleet/edge.py
+++ b/quincepath/fleet/edge.py
@@ -108,7 +108,7 @@
             self.listener = Listener(
                 self.loop, host, port, self._accepted, lambda: len(self._lines), CONNECTIONS
             )
-            self.udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            self.udp = self.loop.system.datagram_socket()
             try:
                 self.udp.bind((host, self.listener.port))
             except OSError:
--- a/quincepath/fleet/service.py
+++ b/quincepath/fleet/service.py
@@ -2,8 +2,6 @@
 
 import hashlib
 import json
-import os
-import time
 from collections import Counter as Counts
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -136,8 +134,8 @@
         )
         self.sent = Counter("quincepath_fleet_sent", "Sent to peers, by kind", ["what"], registry=registry)
         self.configured_gauge.set(self.configured)
-        boot = int.from_bytes(os.urandom(8)) >> 1
-        seed = (config.broker.seed or int.from_bytes(os.urandom(4))) + boot
+        boot = int.from_bytes(loop.system.entropy(8)) >> 1
+        seed = (config.broker.seed or int.from_bytes(loop.system.entropy(4))) + boot
         self.view = View(view_settings(config, entry), boot, seed, loop.clock())
         places = {peer.name: peer.place for peer in entry.peers}
         self._reasons: list[str] | None = None
@@ -229,7 +227,7 @@
         )
         first = configured_map(config.shards)
         return lambda machine: Maps(
-            self.entry.member, boot, first, entry, machine, ports, self.log, wall=time.time_ns
+            self.entry.member, boot, first, entry, machine, ports, self.log, wall=self.loop.system.wall_ns
         )
 
     def _drop(self, cause: str) -> None:
@@ -338,7 +336,7 @@
             self.agreed.command(self._command(what, order, name), lambda why, n=name: done(n, why))  # type: ignore[misc]
 
     def _command(self, what: str, order: Order, name: str) -> Command:
-        now, id = int(time.time() * 1000), f"{order.id} {what} {name}"
+        now, id = self.loop.system.wall_ms(), f"{order.id} {what} {name}"
         match what:
             case "drain":
                 return Grant(id, order.by, now, name, DRAIN, now + self.entry.overdue // 1_000_000)
@@ -360,6 +358,7 @@
     def page(self, path: str) -> Page:
         """The answer to a path under ``/fleet/``."""
         now, what = self.loop.clock(), path.removeprefix("/fleet/")
+        wall = self.loop.system.wall_ns() / 1e9
         self.edge.step([])
         if what == "view":
             found: Any = view_page(self.view, now, self.configured)
@@ -369,13 +368,13 @@
             found = self.agreed.status(brokers, left)
         elif what == "topology" and self.agreed is not None and self.agreed.maps is not None:
             maps, agreed = self.agreed.maps, self.agreed
-            found = maps.status(now, int(time.time() * 1000), agreed.keeper is not None, agreed.leader)
+            found = maps.status(now, self.loop.system.wall_ms(), agreed.keeper is not None, agreed.leader)
         elif what == "agreed" and self.agreed is not None:
             found = [msgspec.to_builtins(line) for line in self.agreed.machine.state.history]
         elif what == "history":
-            found = history_page(self.view, now, time.time())
+            found = history_page(self.view, now, wall)
         elif what.startswith("explain/"):
-            found = explain_page(self.view, what.removeprefix("explain/"), now, time.time())
+            found = explain_page(self.view, what.removeprefix("explain/"), now, wall)
         else:
             found = None
         if found is None:
--- a/quincepath/fleet/shared.py
+++ b/quincepath/fleet/shared.py
@@ -5,7 +5,6 @@
 full of queries still reports in its time.
 """
 
-import time
 from collections import Counter as Counts
 from collections.abc import Callable
 from typing import Any
@@ -131,7 +130,7 @@
         now = self.loop.clock()
         data, self._waiting = self._waiting, []
         # The order among equals changes with the hour of the wall clock; a clock that is off changes no more.
-        news = self.sharing.step(now, data, self._living(), time.time_ns())
+        news = self.sharing.step(now, data, self._living(), self.loop.system.wall_ns())
         for packet in news.packets:
             self.edge.post(packet.to, packet.data)
         if news.totals is not None:
--- a/quincepath/lab/fleet/relay.py
+++ b/quincepath/lab/fleet/relay.py
@@ -54,7 +54,7 @@
         self.loop, self.ways, self.on_packet = loop, ways, on_packet
         self.pairs: list[Pair] = []
         self.real: dict[str, tuple[str, int]] = {}  # where the process that answers for a name listens now
-        self.out = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.out = loop.system.datagram_socket()
         self.out.setblocking(False)
         self.streams: set[Stream] = set()
         self.dials: set[Dial] = set()
@@ -66,7 +66,7 @@
             listener = Listener(
                 self.loop, host, 0, lambda sock: self._accepted(pair, sock), lambda: pair.open, MOST
             )
-            udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            udp = self.loop.system.datagram_socket()
             try:
                 udp.bind((host, listener.port))
                 break
--- a/quincepath/lab/fleet/run/inside.py
+++ b/quincepath/lab/fleet/run/inside.py
@@ -1,6 +1,7 @@
-"""The same day in virtual time: brokers, holders, clients and relay on one loop of one process, real sockets.
+"""The same day in virtual time: brokers, holders, clients and relay on one loop of one process.
 
-What processes share with their machine is not there: nothing is late because something else runs. What needs
+The network between them is in memory (``lab/memory_network``), and wall clock, entropy and memory use come
+from it too: the same script and seed give the same record byte for byte, whatever else the machine does. What needs
 processes of their own is refused: pause, starve and skew. A stopped holder is one that reads no more.
 """
 
@@ -16,7 +17,7 @@
 from quincepath.lab.fleet.run.day import FleetRun
 from quincepath.lab.fleet.run.processes import Seat
 from quincepath.lab.fleet.script import FleetScript
-from quincepath.lab.virtual_loop import VirtualLoop
+from quincepath.lab.virtual_loop import ExactLoop
 from quincepath.net.loop import Loop
 from quincepath.standins.data import Store
 from quincepath.standins.leaf import Faults, Leaf, Service
@@ -107,7 +108,7 @@
 
 
 class InsideRun(FleetRun):
-    """``play`` as over processes; alike each time but for the order of what is ready at once."""
+    """``play`` as over processes; the same script and seed give the same record each time."""
 
     def __init__(self, script: FleetScript, seed: int | None, folder: Path) -> None:
         for place, entry in enumerate(script.faults):
@@ -118,7 +119,7 @@
         super().__init__(script, seed, folder)
 
     def make_loop(self) -> Loop:
-        return VirtualLoop()
+        return ExactLoop(self.seed)
 
     def make_seat(self, place: str, name: str, number: int) -> Seat:
         return InsideSeat(self.loop, place, name, number, self.folder)
--- a/quincepath/lab/load.py
+++ b/quincepath/lab/load.py
@@ -1,6 +1,5 @@
 """A remote read client on the loop: sends queries, keeps what it saw, gives up when its time is up."""
 
-import socket
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from urllib.parse import urlsplit
@@ -137,7 +136,7 @@
         line.stream.write(request_bytes("POST", self.path, "broker", headers, plan.body))
 
     def _connect(self) -> _Line | None:
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock = self.loop.system.stream_socket()
         try:
             sock.connect(self.address)  # loopback: at once or refused
         except OSError:
--- a/quincepath/net/dial.py
+++ b/quincepath/net/dial.py
@@ -32,7 +32,7 @@
         self.loop, self._on_open, self._on_failed = loop, on_open, on_failed
         self.sock: socket.socket | None = None
         try:
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            sock = loop.system.stream_socket()
         except OSError as error:  # out of descriptors: this connection is not had, the broker goes on
             code = error.errno or errno.EMFILE
             self.timer = loop.call_at(loop.now, lambda: self._fail(code))
--- a/quincepath/net/loop.py
+++ b/quincepath/net/loop.py
@@ -13,6 +13,8 @@
 from collections.abc import Callable
 from typing import Any
 
+from quincepath.net.system import System
+
 READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
 LONGEST_WAIT = 60.0  # seconds; a wait with nothing to do ends so often, which costs nothing
 
@@ -34,9 +36,10 @@
 class Loop:
     """Own event loop. Not thread-safe; one per process."""
 
-    def __init__(self, clock: Callable[[], int] = time.monotonic_ns) -> None:
+    def __init__(self, clock: Callable[[], int] = time.monotonic_ns, system: System | None = None) -> None:
         self.clock = clock
-        self._selector = selectors.DefaultSelector()
+        self.system = system or System()
+        self._selector = self.system.selector()
         self._timers: list[tuple[int, int, Timer]] = []
         self._count = 0
         self._stopped = False
--- a/quincepath/net/stream.py
+++ b/quincepath/net/stream.py
@@ -245,7 +245,7 @@
     ) -> None:
         self.loop, self._on_accept, self._open, self.most = loop, on_accept, open_streams, most
         self._on_paused = on_paused
-        self.sock = socket.create_server((host, port), backlog=BACKLOG)
+        self.sock = loop.system.listening_socket(host, port, BACKLOG)
         self.sock.setblocking(False)
         self.port: int = self.sock.getsockname()[1]
         self.closed = False
--- a/quincepath/upstream/pool.py
+++ b/quincepath/upstream/pool.py
@@ -89,7 +89,7 @@
         """Begin to connect; goes on in ``_dialled``."""
         owner = self.owner
         try:
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            sock = owner.loop.system.stream_socket()
         except OSError as error:  # out of descriptors: this call ends, the broker goes on
             self._drop(of_transport(End.UNREACHABLE, error.strerror or str(error)))
             return
--- /dev/null
+++ b/tests/exact/plays.py
@@ -0,0 +1,116 @@
+"""One play of each world in virtual time, and its record as bytes.
+
+``python -m tests.exact.plays WORLD FOLDER`` plays one; the record is written to FOLDER/record. It is told in
+the order in which things stand in memory, nothing is sorted for it: where a set's order or an address enters
+a play, it shows.
+"""
+
+import json
+import sys
+from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
+
+from quincepath.config.load import load
+from quincepath.fleet.ledger.facts import SECOND
+from quincepath.lab import map_world
+from quincepath.lab.emulator.rehearsal import rehearse
+from quincepath.lab.emulator.script import Script
+from quincepath.lab.fair_plan import Plan, Tenant
+from quincepath.lab.fair_rivals import Fair
+from quincepath.lab.fair_world import World as FairWorld
+from quincepath.lab.fleet.ledger_world import LedgerWorld, Network
+from quincepath.lab.fleet.run import InsideRun
+from quincepath.lab.fleet.script import FleetScript
+from quincepath.lab.fleet.virtual import Virtual
+from quincepath.lab.overload_world import Way, World, scenes
+from quincepath.limits.fair import FairSettings
+from tests.fleet.test_inside import DAY
+
+ROOT = Path(__file__).parents[2]
+Play = Callable[[Path], bytes]
+LINE = b"\n"
+
+
+def inside(script: FleetScript, folder: Path) -> bytes:
+    """Brokers, storage nodes and clients on one loop: figures, and every line of the audit's records."""
+    figures = InsideRun(script, None, folder).play()
+    records = [path.name.encode() + LINE + path.read_bytes() for path in sorted(folder.glob("*.jsonl"))]
+    return LINE.join([json.dumps(figures).encode(), *records])
+
+
+def all_faults_of_load(folder: Path) -> bytes:
+    """Nodes killed, hung and stopped, a broker killed and one that leaves."""
+    return inside(FleetScript.model_validate(DAY), folder)
+
+
+def overload_with_kills(folder: Path) -> bytes:
+    """A script of the examples, cut short: three times the load while brokers are killed and come back."""
+    script = load(ROOT / "examples/fleet/overload/summers-killed.yaml", FleetScript)
+    return inside(script.model_copy(update={"length": 20 * SECOND}), folder)
+
+
+def fleet_view(folder: Path) -> bytes:
+    """Views of a fleet over lossy links: each change of belief."""
+    world = Virtual(load(ROOT / "examples/fleet/bad-links.yaml", FleetScript))
+    world.keep_changes = True
+    return repr((world.run().figures(), world.changes)).encode()
+
+
+def emulator(folder: Path) -> bytes:
+    """Brokers' decisions over nodes in trouble: each line of the recording."""
+    lines: list[str] = []
+    script = load(ROOT / "examples/incidents/holders-hang.yaml", Script)
+    outcome = rehearse(script, sink=lambda line: lines.append(repr(line)), until=20 * SECOND)
+    return "\n".join([repr(outcome.figures()), *lines]).encode()
+
+
+def ledger(folder: Path) -> bytes:
+    """Load totals of 20 brokers over a network that loses, doubles and delays."""
+    network = Network(loss=0.1, doubled=0.1, late=0.1)
+    world = LedgerWorld(20, 1, lambda name, now: 100.0, network)
+    found = []
+    for second in range(1, 13):
+        world.run(second * SECOND)
+        found.append((world.truth(), [(one, process.totals) for one, process in world.of.items()]))
+    return repr(found).encode()
+
+
+def overload(folder: Path) -> bytes:
+    """Twenty brokers under five times the load."""
+    plan = replace(scenes.step(scenes.base(20, 20), 5.0), length=18 * SECOND)
+    return repr(World(plan, Way.ONE, 1).run()).encode()
+
+
+def fair(folder: Path) -> bytes:
+    """Fair-queueing slots of five brokers, one of which is killed."""
+    everywhere = tuple(range(5))
+    tenants = tuple(Tenant(f"tenant {n}", everywhere, clients=2 + 2 * n) for n in range(4))
+    settings = FairSettings(slots=10, quick_slots=2)
+    plan = Plan(
+        tenants, Fair, settings, brokers=5, holders=10, until=15 * SECOND,
+        news=lambda random: random.randrange(SECOND), kill=(12 * SECOND, 1),
+    )  # fmt: skip
+    return repr(FairWorld(plan, 3).run()).encode()
+
+
+def maps(folder: Path) -> bytes:
+    """Queries through a drawn shard map and the one after it."""
+    pair = map_world.draw(5)
+    return repr([map_world.play(pair, version, 500, 5) for version in (pair.before, pair.after)]).encode()
+
+
+WORLDS: dict[str, Play] = {
+    play.__name__: play
+    for play in (all_faults_of_load, overload_with_kills, fleet_view, emulator, ledger, overload, fair, maps)
+}
+
+
+def main(words: list[str]) -> None:
+    """Play one world into a folder."""
+    name, folder = words
+    (Path(folder) / "record").write_bytes(WORLDS[name](Path(folder)))
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
