--- a/quincepath/lab/fleet/run/inside.py
+++ b/quincepath/lab/fleet/run/inside.py
@@ -1,8 +1,9 @@
 """The same day in virtual time: brokers, holders, clients and relay on one loop of one process.
 
 The network between them is in memory (``lab/memory_network``), and wall clock, entropy and memory use come
-from it too: the same script and seed give the same record byte for byte, whatever else the machine does. What needs
-processes of their own is refused: pause, starve and skew. A stopped holder is one that reads no more.
+from it too: the same script and seed give the same record byte for byte, whatever else the machine does.
+What needs processes of its own is refused: pause, starve and skew. A stopped holder is one that reads no
+more.
 """
 
 import signal
