--- a/quincepath/fleet/configuration/changes.py
+++ b/quincepath/fleet/configuration/changes.py
@@ -63,11 +63,12 @@
 
 @dataclass(slots=True, frozen=True)
 class Fault:
-    """What is wrong with a change: where, what was found there, and what was expected."""
+    """What is wrong with a change: where, what was found there, what was expected, and of which resource."""
 
     place: str
     found: str
     expected: str
+    resource: str = ""
 
     def __str__(self) -> str:
         """One line for people."""
--- /dev/null
+++ b/quincepath/fleet/configuration/delta_log.py
@@ -0,0 +1,65 @@
+"""The newest deltas, bounded in number and bytes; what is older is compacted away."""
+
+from collections import deque
+from collections.abc import Iterable
+
+from quincepath.fleet.configuration.changes import Delta, encoded_size
+
+DELTAS_MOST = 4096  # about a day of changes
+DELTA_LOG_BYTES_MOST = 4 << 20
+
+
+class DeltaLog:
+    """Deltas in order without a gap. When it is full the oldest go, and ``floor`` rises."""
+
+    def __init__(self, floor: int = 0, deltas: Iterable[Delta] = ()) -> None:
+        """``floor``: the revision that the first delta begins from."""
+        self.floor = self.newest = floor
+        self.bytes = 0
+        self._deltas: deque[tuple[Delta, int]] = deque()
+        for delta in deltas:
+            self.add(delta)
+
+    def __len__(self) -> int:
+        """Number of deltas held."""
+        return len(self._deltas)
+
+    def add(self, delta: Delta) -> None:
+        """The next delta. Raises ``ValueError`` where it is not the next."""
+        if delta.revision != self.newest + 1:
+            raise ValueError(f"delta of revision {delta.revision}; expected {self.newest + 1}")
+        size = encoded_size(delta)
+        self._deltas.append((delta, size))
+        self.bytes += size
+        self.newest = delta.revision
+        while len(self._deltas) > DELTAS_MOST or self.bytes > DELTA_LOG_BYTES_MOST:
+            self.floor = self._deltas[0][0].revision
+            self.bytes -= self._deltas.popleft()[1]
+
+    def get(self, revision: int) -> Delta | None:
+        """One delta, where it is held."""
+        at = revision - self.floor - 1
+        return self._deltas[at][0] if 0 <= at < len(self._deltas) else None
+
+    def since(self, revision: int, bytes_most: int = DELTA_LOG_BYTES_MOST) -> tuple[Delta, ...] | None:
+        """The deltas after a revision, at least one where there is one. None: they are compacted away."""
+        if revision < self.floor:
+            return None
+        found: list[Delta] = []
+        size = 0
+        for at in range(revision - self.floor, len(self._deltas)):
+            delta, more = self._deltas[at]
+            size += more
+            if found and size > bytes_most:
+                break
+            found.append(delta)
+        return tuple(found)
+
+    def touched_after(self, revision: int, name: str) -> int:
+        """The newest later revision that touched a resource; 0: none of those held."""
+        for delta, _ in reversed(self._deltas):
+            if delta.revision <= revision:
+                break
+            if any(edit.name == name for edit in delta.edits):
+                return delta.revision
+        return 0
--- /dev/null
+++ b/quincepath/fleet/configuration/history.py
@@ -0,0 +1,179 @@
+"""The state machine of the consensus log for the configuration: the same changes, the same state everywhere.
+
+A change is compared with what is committed when its turn comes, not when it was proposed: of two that name
+the same old value the first takes effect and the second is refused. What is refused takes no revision.
+"""
+
+import hashlib
+from collections.abc import Sequence
+
+import msgspec
+
+from quincepath.fleet.configuration.changes import (
+    CHANGE_BYTES_MOST,
+    Change,
+    Delta,
+    Edit,
+    Fault,
+    Revision,
+    encoded_size,
+    structure_faults,
+)
+from quincepath.fleet.configuration.delta_log import DeltaLog
+from quincepath.fleet.configuration.resources import shown
+from quincepath.fleet.configuration.table import ResourceTable
+
+SCHEMA = 1
+ANSWERS_MOST = 8000  # changes remembered by id, about two days, so that a repeat takes effect once
+REASON_CHARACTERS_MOST = 400
+
+
+class Answer(msgspec.Struct, array_like=True, frozen=True):
+    """What became of a change: its revision, or 0 and why it was refused. ``digest``: of its content."""
+
+    revision: Revision
+    reason: str
+    digest: bytes
+
+
+class HistoryState(msgspec.Struct, array_like=True):
+    """All that a snapshot holds. ``deltas`` lead from ``floor`` up to ``revision``."""
+
+    schema: int = SCHEMA
+    revision: int = 0
+    values: dict[str, bytes] = {}
+    floor: int = 0
+    deltas: tuple[Delta, ...] = ()
+    answers: dict[str, Answer] = {}
+
+
+_encoder = msgspec.msgpack.Encoder()
+_states = msgspec.msgpack.Decoder(HistoryState)
+
+
+class History:
+    """Resources at the newest revision, the newest deltas, and the answers to the newest changes."""
+
+    def __init__(self) -> None:
+        """Empty, at revision 0."""
+        self.table = ResourceTable()
+        self.log = DeltaLog()
+        self.answers: dict[str, Answer] = {}
+
+    @property
+    def revision(self) -> int:
+        """The newest."""
+        return self.log.newest
+
+    def propose_faults(self, change: Change) -> list[Fault]:
+        """What stands in the way of a change now; asked before it is proposed. Empty: nothing."""
+        faults = structure_faults(change)
+        if faults:
+            return faults
+        edits, faults = self._edits(change)
+        if faults:
+            return faults
+        size = encoded_size(Delta(self.revision + 1, tuple(edits)))
+        if size > CHANGE_BYTES_MOST:
+            return [Fault("change", f"{size} bytes", f"at most {CHANGE_BYTES_MOST}; divide it")]
+        return self.table.conflicts(edits) or self.table.faults(edits)
+
+    def apply(self, change: Change) -> Answer:
+        """One committed change. The same id again has the same answer and no effect."""
+        digest = _digest(change)
+        known = self.answers.get(change.id)
+        if known is not None:
+            if known.digest == digest:
+                return known
+            reason = f"id {change.id!r}: used for another change; expected an id of its own"
+            return Answer(0, reason, digest)
+        faults = self.propose_faults(change)
+        if faults:
+            return self._answer(change, Answer(0, _reason(faults), digest))
+        edits, _ = self._edits(change)
+        delta = Delta(self.revision + 1, tuple(edits))
+        self.table.apply(edits)
+        self.log.add(delta)
+        return self._answer(change, Answer(delta.revision, "", digest))
+
+    def _answer(self, change: Change, answer: Answer) -> Answer:
+        self.answers[change.id] = answer
+        while len(self.answers) > ANSWERS_MOST:
+            del self.answers[next(iter(self.answers))]
+        return answer
+
+    # --- rollback ---
+
+    def _edits(self, change: Change) -> tuple[Sequence[Edit], list[Fault]]:
+        """The edits of a change; those of a rollback follow from the revision that it takes back."""
+        if not change.rolls_back:
+            return change.edits, []
+        delta = self.log.get(change.rolls_back)
+        if delta is None:
+            held = f"a revision from {self.log.floor + 1} to {self.revision}"
+            return (), [Fault("rolls_back", str(change.rolls_back), held)]
+        named = {edit.name: edit for edit in change.edits}
+        faults = self._unknown(named, delta)
+        edits = []
+        for edit in delta.edits:
+            found, fault = self._taken_back(edit, named.get(edit.name), change.rolls_back)
+            edits += [] if found is None else [found]
+            faults += [] if fault is None else [fault]
+        if not edits and not faults:
+            faults.append(Fault("rolls_back", str(change.rolls_back), "a revision whose values are in force"))
+        return edits, faults
+
+    def _unknown(self, named: dict[str, Edit], delta: Delta) -> list[Fault]:
+        touched = {edit.name for edit in delta.edits}
+        expected = f"a resource that revision {delta.revision} touched"
+        return [Fault(name, "named", expected, name) for name in named if name not in touched]
+
+    def _taken_back(self, edit: Edit, named: Edit | None, revision: int) -> tuple[Edit | None, Fault | None]:
+        """One resource with its value before a revision. ``named``: taken back whatever touched it later."""
+        if named is not None:
+            if named.new != edit.old:
+                expected = f"{shown(edit.old)}, the value before revision {revision}"
+                return None, Fault(edit.name, shown(named.new), expected, edit.name)
+            return (named if named.old != named.new else None), None
+        later = self.log.touched_after(revision, edit.name)
+        if later:
+            expected = f"none after revision {revision}, or the resource named with the value that it has now"
+            return None, Fault(edit.name, f"changed by revision {later}", expected, edit.name)
+        return Edit(edit.name, edit.new, edit.old), None
+
+    # --- snapshots ---
+
+    def dump(self) -> bytes:
+        """All of it, for a snapshot of the log. The same state, the same bytes."""
+        state = HistoryState(
+            SCHEMA,
+            self.revision,
+            dict(sorted(self.table.values.items())),
+            self.log.floor,
+            self.log.since(self.log.floor) or (),
+            self.answers,
+        )
+        return _encoder.encode(state)
+
+    def load(self, data: bytes) -> None:
+        """From a snapshot; nothing is the beginning. Raises ``ValueError`` for one that cannot be read."""
+        state = _states.decode(data) if data else HistoryState()
+        if not 1 <= state.schema <= SCHEMA:
+            raise ValueError(f"configuration of schema {state.schema}; expected 1 to {SCHEMA}")
+        log = DeltaLog(state.floor, state.deltas)
+        if log.newest != state.revision:
+            raise ValueError(f"deltas up to {log.newest}; expected up to {state.revision}")
+        self.table = ResourceTable(state.values)
+        self.log = log
+        self.answers = dict(state.answers)
+
+
+def _digest(change: Change) -> bytes:
+    """Of its content, without when it was proposed: a repeat may be proposed later."""
+    same = msgspec.structs.replace(change, proposed_at_ms=0)
+    return hashlib.blake2b(_encoder.encode(same), digest_size=8).digest()
+
+
+def _reason(faults: Sequence[Fault]) -> str:
+    more = f"; and {len(faults) - 3} more" if len(faults) > 3 else ""
+    return ("; ".join(map(str, faults[:3])) + more)[:REASON_CHARACTERS_MOST]
