--- /dev/null
+++ b/quincepath/fleet/configuration/messages.py
@@ -0,0 +1,206 @@
+"""Messages between relays and subscribers: msgpack arrays, versioned, every size bounded.
+
+The envelope follows ``fleet/messages.py``: fields are appended only, ``least`` says who may read it, bodies
+are read apart. They travel on the framed connections of the fleet, not as datagrams: one delta may be eighty
+times a packet, a connection that breaks is known at once, and a lost packet is sent again below this
+protocol. The protocol relies on neither order nor delivery all the same, since a connection may be replaced
+at any time. ``MARK`` begins each message, so that it can share a connection with others. No wall clock
+travels: times are ages in ms.
+"""
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from quincepath.fleet.configuration.changes import (
+    CHANGE_BYTES_MOST,
+    NAME_CHARACTERS_MOST,
+    Delta,
+    Revision,
+)
+from quincepath.fleet.messages import Counter, Name, Rejected, Text, Versions, Word64, body_in, opened
+
+SCHEMA = 1
+VERSIONS = Versions(SCHEMA, 1)
+MARK = b"\xc1C"  # 0xc1 begins no msgpack value
+BATCH_BYTES = 64 * 1024  # of deltas in one message, but for a single larger one
+BATCH_DELTAS_MOST = 256
+FRAME_MOST = BATCH_BYTES + CHANGE_BYTES_MOST + 1024
+PIECE_BYTES = 32 * 1024  # of a snapshot in one message
+SNAPSHOT_BYTES_MOST = 16 << 20  # of a snapshot, compressed
+LISTED_REVISIONS_MOST = 16  # in a summary
+LISTED_LAGGARDS_MOST = 32
+LISTED_REFUSALS_MOST = 16
+
+AgeMs = Counter
+Offset = Annotated[int, Meta(ge=0, le=SNAPSHOT_BYTES_MOST)]
+Named = Annotated[str, Meta(max_length=NAME_CHARACTERS_MOST)]
+
+
+# --- from a subscriber ---
+
+
+class Subscribe(msgspec.Struct, array_like=True, frozen=True, tag=1):
+    """Serve me from here on. ``revision`` is applied; deltas up to ``received`` are held and not applied.
+
+    ``snapshot``: send a snapshot, whatever deltas there are.
+    """
+
+    revision: Revision
+    received: Revision
+    snapshot: bool = False
+
+
+class Unsubscribe(msgspec.Struct, array_like=True, frozen=True, tag=2):
+    """Serve me no more."""
+
+
+class Ack(msgspec.Struct, array_like=True, frozen=True, tag=3):
+    """Cumulative: everything up to ``revision`` is in force here, everything up to ``received`` is here."""
+
+    revision: Revision
+    received: Revision
+
+
+class Nack(msgspec.Struct, array_like=True, frozen=True, tag=4):
+    """``refused`` cannot be applied here, because of ``resource``; ``revision`` stays in force."""
+
+    revision: Revision
+    received: Revision
+    refused: Revision
+    resource: Named
+    reason: Text
+
+
+class FetchPieces(msgspec.Struct, array_like=True, frozen=True, tag=5):
+    """Send the next pieces of the snapshot at ``revision``, from byte ``offset``."""
+
+    revision: Revision
+    offset: Offset
+
+
+# --- from a relay ---
+
+
+class Deltas(msgspec.Struct, array_like=True, frozen=True, tag=11):
+    """Committed deltas in order, the first from ``from_revision``; ``newest`` that the relay knows."""
+
+    from_revision: Revision
+    newest: Revision
+    deltas: Annotated[tuple[Delta, ...], Meta(max_length=BATCH_DELTAS_MOST)]
+
+
+class SnapshotPiece(msgspec.Struct, array_like=True, frozen=True, tag=12):
+    """A part of all resources at ``revision``, compressed, from byte ``offset`` of ``total``."""
+
+    revision: Revision
+    offset: Offset
+    total: Offset
+    data: Annotated[bytes, Meta(max_length=PIECE_BYTES)]
+
+
+class Heartbeat(msgspec.Struct, array_like=True, frozen=True, tag=13):
+    """The relay serves you. ``age``: ms since a voter last confirmed that ``newest`` is the newest."""
+
+    newest: Revision
+    age: AgeMs
+
+
+class Busy(msgspec.Struct, array_like=True, frozen=True, tag=14):
+    """Not now. ``full``: no room for one more subscriber; else a snapshot follows when its turn comes."""
+
+    full: bool
+    waiting: Counter = 0  # subscribers that wait for a snapshot before you
+
+
+class Redirect(msgspec.Struct, array_like=True, frozen=True, tag=15):
+    """Served no more: ask another. ``relay``: which; empty: the next in your own order."""
+
+    relay: Annotated[str, Meta(max_length=32)]
+
+
+# --- from a relay to the voters ---
+
+
+class Laggard(msgspec.Struct, array_like=True, frozen=True):
+    """A subscriber behind the newest revision; ``behind``: ms since it was last at the newest."""
+
+    name: Name
+    revision: Revision
+    behind: AgeMs
+
+
+class Refusal(msgspec.Struct, array_like=True, frozen=True):
+    """A subscriber that refused a revision and stays on an older one."""
+
+    name: Name
+    revision: Revision
+    refused: Revision
+    resource: Named
+    reason: Text
+
+
+class RevisionCount(msgspec.Struct, array_like=True, frozen=True):
+    """How many subscribers are at a revision."""
+
+    revision: Revision
+    subscribers: Counter
+
+
+class Summary(msgspec.Struct, array_like=True, frozen=True, tag=21):
+    """All acknowledgements of one relay, in bounded size: the newest revisions, those furthest behind."""
+
+    newest: Revision
+    age: AgeMs
+    subscribers: Counter
+    counts: Annotated[tuple[RevisionCount, ...], Meta(max_length=LISTED_REVISIONS_MOST)]
+    older: Counter  # subscribers at revisions that are not listed
+    laggards: Annotated[tuple[Laggard, ...], Meta(max_length=LISTED_LAGGARDS_MOST)]
+    behind: Counter  # subscribers behind the newest, also those not listed
+    refusals: Annotated[tuple[Refusal, ...], Meta(max_length=LISTED_REFUSALS_MOST)]
+    refused: Counter  # subscribers that refuse a revision, also those not listed
+    waiting: Counter = 0  # for a snapshot
+
+
+Body = (
+    Subscribe | Unsubscribe | Ack | Nack | FetchPieces | Deltas | SnapshotPiece | Heartbeat | Busy | Redirect
+    | Summary
+)  # fmt: skip
+
+
+class Envelope(msgspec.Struct, array_like=True, frozen=True):
+    """Around every message. ``boot`` tells starts of the sender apart."""
+
+    schema: Annotated[int, Meta(ge=0, le=1 << 16)]
+    least: Annotated[int, Meta(ge=0, le=1 << 16)]
+    fleet: Name
+    sender: Name
+    to: Name
+    boot: Word64
+    body: msgspec.Raw
+
+
+_encoder = msgspec.msgpack.Encoder()
+_envelopes = msgspec.msgpack.Decoder(Envelope)
+_bodies: msgspec.msgpack.Decoder[Body] = msgspec.msgpack.Decoder(Body)
+
+
+def encode_body(body: Body) -> msgspec.Raw:
+    """A body, encoded once for all that it goes to."""
+    return msgspec.Raw(_encoder.encode(body))
+
+
+def pack(fleet: str, sender: str, boot: int, to: str, raw: msgspec.Raw) -> bytes:
+    """One message, ready to go."""
+    return MARK + _encoder.encode(Envelope(SCHEMA, SCHEMA, fleet, sender, to, boot, raw))
+
+
+def unpack(data: bytes, fleet: str, to: str) -> tuple[Envelope, Body]:
+    """A message to this member. Raises ``Rejected``, with the causes of ``fleet/messages.py``."""
+    if data[: len(MARK)] != MARK:
+        raise Rejected("unreadable")
+    found = opened(data[len(MARK) :], _envelopes, VERSIONS, fleet, to, FRAME_MOST)
+    if found.sender == to:
+        raise Rejected("wrong name")
+    return found, body_in(found.body, _bodies)
--- /dev/null
+++ b/quincepath/fleet/configuration/snapshots.py
@@ -0,0 +1,94 @@
+"""All resources at one revision as bytes: compressed and cut by a relay, put together by a subscriber."""
+
+import zlib
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from quincepath.fleet.configuration.changes import ChangeError, Fault, ResourceName, Revision, Value
+from quincepath.fleet.configuration.messages import PIECE_BYTES, SNAPSHOT_BYTES_MOST, SnapshotPiece
+from quincepath.fleet.configuration.table import RESOURCES_MOST, TABLE_BYTES_MOST
+
+CONTENT_BYTES_MOST = TABLE_BYTES_MOST + 16 * RESOURCES_MOST  # decompressed
+COMPRESSION_LEVEL = 1  # 12,000 nodes are compressed in one turn of the relay
+
+
+class Content(msgspec.Struct, array_like=True, frozen=True):
+    """What a snapshot holds."""
+
+    revision: Revision
+    values: Annotated[dict[ResourceName, Value], Meta(max_length=RESOURCES_MOST)]
+
+
+@dataclass(slots=True, frozen=True)
+class Image:
+    """A snapshot, ready to be cut."""
+
+    revision: int
+    data: bytes
+
+    def piece(self, offset: int) -> SnapshotPiece:
+        """The piece that begins at a byte."""
+        data = self.data[offset : offset + PIECE_BYTES]
+        return SnapshotPiece(self.revision, offset, len(self.data), data)
+
+
+_encoder = msgspec.msgpack.Encoder(order="deterministic")
+_contents = msgspec.msgpack.Decoder(Content)
+
+
+def make_image(revision: int, values: Mapping[str, bytes]) -> Image:
+    """Compress all values. Raises ``ChangeError`` where the result is larger than a snapshot may be."""
+    plain = _encoder.encode(Content(revision, dict(values)))
+    data = zlib.compress(plain, COMPRESSION_LEVEL)
+    if len(data) > SNAPSHOT_BYTES_MOST:
+        raise ChangeError([Fault("snapshot", f"{len(data)} bytes", f"at most {SNAPSHOT_BYTES_MOST}")])
+    return Image(revision, data)
+
+
+def read_image(image: Image) -> Content:
+    """What an image holds. Raises ``ChangeError`` where it is not whole or breaks a bound."""
+    reader = zlib.decompressobj()
+    try:
+        plain = reader.decompress(image.data, CONTENT_BYTES_MOST)
+        content = _contents.decode(plain)
+    except (zlib.error, msgspec.MsgspecError) as error:
+        found = f"{len(image.data)} bytes"
+        raise ChangeError([Fault("snapshot", found, f"a readable snapshot: {error}")]) from None
+    if content.revision != image.revision:
+        raise ChangeError([Fault("snapshot", f"revision {content.revision}", f"revision {image.revision}")])
+    return content
+
+
+@dataclass(slots=True)
+class Assembly:
+    """Pieces of one snapshot, put together in order. Bounded by the total that the first piece names."""
+
+    revision: int
+    total: int
+    data: bytearray = field(default_factory=bytearray)
+
+    @property
+    def offset(self) -> int:
+        """Where the next piece begins."""
+        return len(self.data)
+
+    @property
+    def whole(self) -> bool:
+        """Whether all pieces are here."""
+        return len(self.data) >= self.total
+
+    def add(self, piece: SnapshotPiece) -> bool:
+        """Whether the piece was the next one of this snapshot."""
+        fits = piece.offset == len(self.data) and piece.total == self.total and piece.data
+        if piece.revision != self.revision or not fits or piece.offset + len(piece.data) > self.total:
+            return False
+        self.data += piece.data
+        return True
+
+    def image(self) -> Image:
+        """The whole snapshot, not yet read."""
+        return Image(self.revision, bytes(self.data))
