--- a/quincepath/fleet/configuration/applying.py
+++ b/quincepath/fleet/configuration/applying.py
@@ -37,6 +37,7 @@
 
 
 def nothing_more(edits: Sequence[Edit]) -> Sequence[Fault]:
+    """The default: the schema and the rules are all that counts."""
     return ()
 
 
