Scale run: a fleet of hollow brokers on loopback sockets, one JSON line

The fleet is tested with at most 40 processes, while 2,600 brokers are planned; what the control plane costs at such a size was only known from virtual time. A hollow broker is the program's own `Fleet` (view, ledger, log, with edge, metrics and timers) on a socket and a port of its own, without the data path, and many share one process. Since the program's own classes run, messages and bytes are those of a real broker.

Hooks in the program, none of which changes what is sent: `Fleet` takes the class of its edge, `Edge` counts the bytes of datagrams by kind and the log's frames apart (three more values of the label `what` of `quincepath_fleet_sent`), and closing an edge twice does nothing (before, it raised on the closed socket, which the first trial of a kill showed).

The first trials failed: holders that shared an address, and the double close. Real brokers, faults by script and larger sizes are not in yet.

--- /dev/null
+++ b/benchmarks/capacity/scale/command.py
@@ -0,0 +1,137 @@
+"""The command line of a scale run: options, refusals, progress on standard error, one line of JSON."""
+
+import signal
+import socket
+import sys
+import tempfile
+from pathlib import Path
+from types import FrameType
+
+import click
+
+from benchmarks.capacity.scale.machine import Machine, RefusedError, check, host_processes
+from benchmarks.capacity.scale.plan import PORT, Mechanism, Plan
+from benchmarks.capacity.scale.result import Result, Verdict, line
+from benchmarks.capacity.scale.run import Run
+
+BROKERS_MOST = 2600
+REAL_MOST = 10
+STATUS = {Verdict.GOOD: 0, Verdict.FAILED: 1, Verdict.VOID: 3}
+BAD_OPTION = 2
+BLOCKS = range(20, 100)  # second octets that runs use; the laboratory's relay uses 100 to 199
+
+
+class MechanismList(click.ParamType):  # type: ignore[type-arg]
+    """Names of mechanisms, separated by commas."""
+
+    name = "list"
+
+    def convert(
+        self, value: str, param: click.Parameter | None, ctx: click.Context | None
+    ) -> tuple[Mechanism, ...]:
+        """Raises click's error for an unknown name, one that stands twice, and a list without the view."""
+        names = [name.strip() for name in value.split(",")]
+        known = [one.value for one in Mechanism]
+        for name in names:
+            if name not in known:
+                self.fail(f"{name!r}: expected some of {', '.join(known)}", param, ctx)
+            if names.count(name) > 1:
+                self.fail(f"{name!r} stands twice: expected each at most once", param, ctx)
+        if Mechanism.VIEW not in names:
+            self.fail(f"{value!r}: expected {Mechanism.VIEW} among them, all others need it", param, ctx)
+        return tuple(one for one in Mechanism if one in names)
+
+
+@click.command("scale")
+@click.option("--brokers", type=click.IntRange(3, BROKERS_MOST), required=True, help="Of the whole fleet.")
+@click.option("--real", type=click.IntRange(0, REAL_MOST), default=0, help="Broker processes among them.")
+@click.option("--seed", type=click.IntRange(0, 1 << 30), default=1)
+@click.option("--mechanisms", type=MechanismList(), default=",".join(Mechanism), help="Which are on.")
+@click.option("--duration", type=click.FloatRange(2, 600), default=20.0, help="Seconds of the calm phase.")
+@click.option("--queries", type=click.FloatRange(0, 1000), default=10.0, help="A second, at each broker.")
+@click.option("--kill-share", type=click.FloatRange(0, 0.5, min_open=True), default=0.02)
+@click.option(
+    "--processes", type=click.IntRange(1, 190), help="Of hollow brokers; by the cores if not given."
+)
+@click.option("--out", type=click.Path(dir_okay=False, path_type=Path), help="File for the same JSON.")
+def scale(
+    brokers: int,
+    real: int,
+    seed: int,
+    mechanisms: tuple[Mechanism, ...],
+    duration: float,
+    queries: float,
+    kill_share: float,
+    processes: int | None,
+    out: Path | None,
+) -> Result:
+    """Run a fleet of BROKERS on this machine's loopback, REAL of them as processes of their own."""
+    if real >= brokers:
+        raise click.BadParameter(f"{real}: expected fewer than --brokers ({brokers})", param_hint="--real")
+    if out is not None and not out.absolute().parent.is_dir():
+        raise click.BadParameter(f"{out}: expected a file in a folder that exists", param_hint="--out")
+    machine = Machine.read()
+    hollow = brokers - real
+    with tempfile.TemporaryDirectory(prefix="quincepath-scale-") as folder:
+        plan = Plan(
+            brokers=brokers,
+            real=real,
+            seed=seed,
+            mechanisms=mechanisms,
+            processes=min(processes or host_processes(hollow, machine), hollow),
+            queries=queries,
+            folder=folder,
+            block=free_block(),
+        )
+        check(plan, machine)
+        result = Run(plan, machine, duration, kill_share, say).play()
+    if out is not None:
+        out.write_text(line(result) + "\n")
+    return result
+
+
+def free_block() -> int:
+    """A block of loopback addresses where no other run's first broker listens.
+
+    Raises ``RefusedError`` where all are in use.
+    """
+    for block in BLOCKS:
+        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
+            try:
+                probe.bind((f"127.{block}.0.1", PORT))
+            except OSError:
+                continue
+        return block
+    raise RefusedError(f"port {PORT} is taken on 127.{BLOCKS[0]}.0.1 and all further blocks")
+
+
+def say(text: str) -> None:
+    """For people; standard output is for the one line."""
+    print(text, file=sys.stderr, flush=True)
+
+
+def _terminated(number: int, _: FrameType | None) -> None:
+    """SIGTERM ends a run as SIGINT does: through all ``finally`` blocks."""
+    raise KeyboardInterrupt(signal.Signals(number).name)
+
+
+def main(arguments: list[str]) -> int:
+    """Exit status: 0 good, 1 failed, 2 bad option or refused, 3 void, 130 interrupted."""
+    before = signal.signal(signal.SIGTERM, _terminated)
+    try:
+        result = scale.main(arguments, prog_name="scale", standalone_mode=False)
+    except click.ClickException as error:
+        error.show()
+        return BAD_OPTION
+    except RefusedError as error:
+        say(f"refused: {error}")
+        return BAD_OPTION
+    except (click.Abort, KeyboardInterrupt):
+        say("interrupted: all processes of the run have ended")
+        return 130
+    finally:
+        signal.signal(signal.SIGTERM, before)
+    if not isinstance(result, Result):  # --help
+        return 0
+    print(line(result), flush=True)
+    return STATUS[result.verdict]
--- /dev/null
+++ b/benchmarks/capacity/scale/hollow.py
@@ -0,0 +1,196 @@
+"""One hollow broker: the whole control plane of a broker, with made-up counts in place of the data path."""
+
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from prometheus_client import CollectorRegistry
+
+from benchmarks.capacity.scale.links import BlackHole, LinkFaults, LossySocket
+from benchmarks.capacity.scale.messages import BrokerFigures
+from benchmarks.capacity.scale.meter import LEDGER, LOAD, LOG, VIEW, MeteredLoop
+from benchmarks.capacity.scale.plan import Configurations, MemberPlan, Plan
+from quincepath.broker.service.fleet import open_keepers_store
+from quincepath.fleet.edge import Edge
+from quincepath.fleet.ledger.facts import Count, Spend
+from quincepath.fleet.overload import Arrival
+from quincepath.fleet.permits import DRAIN, Back, Grant
+from quincepath.fleet.service import Fleet
+from quincepath.fleet.view.core import Input
+from quincepath.fleet.view.facts import Change
+
+LOAD_PERIOD = 250_000_000  # ns between queries that are counted together
+SETS = 3  # replica sets of a made-up query, each asked for two parts, as in the demo's configuration
+PARTS_A_SET = 2
+DRAIN_TIME = 3_600_000  # ms until a drain is overdue
+
+
+class HollowEdge(Edge):
+    """The edge of a hollow broker: its view's work is charged to the view, and links may fail."""
+
+    def step(self, inputs: list[Input]) -> None:
+        assert isinstance(self.loop, MeteredLoop)
+        with self.loop.meter.charged(VIEW):
+            super().step(inputs)
+
+    def lose(self, names: dict[tuple[str, int], str], faults: LinkFaults) -> None:
+        """Apply ``faults`` to every datagram sent from now on."""
+        lossy: Any = LossySocket(self.udp, self.view.settings.name, names, faults)
+        self.udp = lossy
+
+    def reroute(self, name: str, place: tuple[str, int]) -> None:
+        """Reach a member at another place from now on; a standing connection to it ends."""
+        self.places[name] = place
+        way = self._ways.pop(name, None)
+        if way is None:
+            return
+        if way.dial is not None:
+            way.dial.close()
+        if way.stream is not None:
+            way.stream.close()
+
+
+class HollowBroker:
+    """``knows_living_at`` and ``knows_drained_at``: when it came to know what is expected; 0: it does not."""
+
+    def __init__(
+        self,
+        plan: Plan,
+        member: MemberPlan,
+        configurations: Configurations,
+        loop: MeteredLoop,
+        log: Any,
+        expected_living: Callable[[], int],
+        expected_drained: Callable[[], frozenset[str]],
+    ) -> None:
+        self.member, self.loop, self._plan = member, loop, plan
+        self._expected_living, self._expected_drained = expected_living, expected_drained
+        self.knows_living_at = self.knows_drained_at = 0
+        self._drained: frozenset[str] = frozenset()
+        self._unreachable: frozenset[str] = frozenset()
+        self._queries = 0.0
+        self._closed = False
+        self.fleet = Fleet(
+            configurations.broker(member),
+            configurations.fleet(member),
+            loop,
+            log,
+            CollectorRegistry(),
+            Path(plan.folder),
+            open_keepers_store,
+            HollowEdge,
+        )
+        self._charge_receivers()
+        self._watch_changes()
+        self.look_at_living()
+        self.look_at_drained()
+        if self.fleet.shared is not None and plan.queries:
+            loop.call_in(LOAD_PERIOD, self._count_queries)
+
+    @property
+    def edge(self) -> HollowEdge:
+        """Its sockets."""
+        assert isinstance(self.fleet.edge, HollowEdge)
+        return self.fleet.edge
+
+    def _charge_receivers(self) -> None:
+        """What the edge hands to the ledger and the log is charged to them."""
+        meter, edge = self.loop.meter, self.edge
+
+        def charged(account: str, receive: Callable[[bytes], None]) -> Callable[[bytes], None]:
+            def received(data: bytes) -> None:
+                with meter.charged(account):
+                    receive(data)
+
+            return received
+
+        if edge.on_other is not None:
+            edge.on_other = charged(LEDGER, edge.on_other)
+        if edge.on_agreed is not None:
+            edge.on_agreed = charged(LOG, edge.on_agreed)
+
+    def _watch_changes(self) -> None:
+        told = self.edge.on_told
+
+        def noted(out: Any) -> None:
+            told(out)
+            if isinstance(out, Change):
+                self.look_at_living()
+
+        def drained(names: frozenset[str]) -> None:
+            self._drained = names
+            self.look_at_drained()
+
+        self.edge.on_told = noted
+        self.fleet.on_drained = drained
+
+    def look_at_living(self) -> None:
+        """Note whether the number of living brokers is the expected one, and since when."""
+        if self.fleet.view.table.living != self._expected_living():
+            self.knows_living_at = 0
+        elif not self.knows_living_at:
+            self.knows_living_at = time.monotonic_ns()
+
+    def look_at_drained(self) -> None:
+        """Note whether those drained are the expected ones, and since when."""
+        if self._drained != self._expected_drained():
+            self.knows_drained_at = 0
+        elif not self.knows_drained_at:
+            self.knows_drained_at = time.monotonic_ns()
+
+    def _count_queries(self) -> None:
+        """Queries since the last time, each of all replica sets and answered in time."""
+        if self._closed or self.fleet.shared is None:
+            return
+        with self.loop.meter.charged(LOAD):
+            self._queries += self._plan.queries * LOAD_PERIOD / 1e9
+            tally = self.fleet.shared.sharing.tally
+            for _ in range(int(self._queries)):
+                self.fleet.shared.arrive(Arrival(0, 1.0, "", "", tuple(range(SETS)), 0, False))
+                tally.spent(Spend.FIRST, SETS * PARTS_A_SET)
+                tally.ended(0, Count.IN_TIME)
+            self._queries %= 1
+        self.loop.call_in(LOAD_PERIOD, self._count_queries)
+
+    def propose(self, id: str, name: str, back: bool, done: Callable[[str], None]) -> None:
+        """Have a drain committed, or that a broker is back; ``done`` gets why not, or nothing."""
+        if self.fleet.agreed is None:
+            done("the log is off")
+            return
+        now = time.time_ns() // 1_000_000
+        if back:
+            self.fleet.agreed.command(Back(id, "scale", now, name), done)
+        else:
+            self.fleet.agreed.command(Grant(id, "scale", now, name, DRAIN, now + DRAIN_TIME), done)
+
+    def cut(self, unreachable: frozenset[str], places: dict[str, tuple[str, int]], hole: BlackHole) -> None:
+        """Reach these members no more, and all others again."""
+        for name in unreachable - self._unreachable:
+            self.edge.reroute(name, hole.place)
+        for name in self._unreachable - unreachable:
+            self.edge.reroute(name, places[name])
+        self._unreachable = unreachable
+
+    def figures(self) -> BrokerFigures:
+        """What it has sent."""
+        sent = self.edge.sent
+        ledger, log = sent["posted_bytes"], sent["log_bytes"]
+        return BrokerFigures(
+            self.member.name,
+            {
+                VIEW: sent["datagrams"] + sent["frames"] - sent["log_frames"],
+                LEDGER: sent["posted"],
+                LOG: sent["log_frames"],
+            },
+            {VIEW: sent["bytes"] - ledger - log, LEDGER: ledger, LOG: log},
+        )
+
+    def end(self, leaves: bool) -> None:
+        """End without a word, or in good order."""
+        self._closed = True
+        if self.fleet.shared is not None:
+            self.fleet.shared.close()
+        if not leaves:
+            self.edge.close()
+        self.fleet.close()
--- /dev/null
+++ b/benchmarks/capacity/scale/host.py
@@ -0,0 +1,218 @@
+"""A process of hollow brokers: ``python -m benchmarks.capacity.scale.host DESCRIPTOR SECONDS``.
+
+It does what its parent says on the socket of that descriptor, and ends when the parent does: at the end of
+that stream, or after so many seconds whatever happens.
+"""
+
+import signal
+import socket
+import sys
+import time
+from typing import Any
+
+import psutil
+
+from benchmarks.capacity.scale import messages as m
+from benchmarks.capacity.scale.hollow import HollowBroker
+from benchmarks.capacity.scale.links import BlackHole, LinkFaults
+from benchmarks.capacity.scale.memory import reachable_bytes
+from benchmarks.capacity.scale.meter import HARNESS, LEDGER, LOG, VIEW, Lateness, MeteredLoop
+from benchmarks.capacity.scale.plan import Configurations, MemberPlan, Plan
+from quincepath.net.stream import Stream
+from quincepath.observe.logs import logger, setup
+
+START_GAP = 5_000_000  # ns between two brokers that start: a process has other work meanwhile
+LACKING_MOST = 8  # brokers named in a progress report
+
+
+class Host:
+    """The hollow brokers of one process, and the channel to the parent."""
+
+    def __init__(self, loop: MeteredLoop, channel: socket.socket) -> None:
+        self.loop = loop
+        self.lateness = Lateness(loop)
+        self.brokers: dict[str, HollowBroker] = {}
+        self._log = logger()
+        self._plan: Plan | None = None
+        self._configurations: Configurations | None = None
+        self._own: dict[str, MemberPlan] = {}
+        self._places: dict[str, tuple[str, int]] = {}
+        self._names: dict[tuple[str, int], str] = {}
+        self._living = 0
+        self._drained: frozenset[str] = frozenset()
+        self._faults: LinkFaults | None = None
+        self._hole: BlackHole | None = None
+        self._reader = m.Reader(self._message)
+        self._stream = Stream(loop, channel, self._reader.feed, lambda _: loop.stop())
+
+    def _say(self, message: m.ToParent) -> None:
+        self._stream.write(m.pack(message))
+
+    def _message(self, data: bytes) -> None:
+        with self.loop.meter.charged(HARNESS):
+            self._obey(m.to_host(data))
+
+    def _obey(self, message: m.ToHost) -> None:
+        match message:
+            case m.Setup(plan, names):
+                self._set_up(plan, names)
+            case m.StartBrokers(names):
+                self._start([name for name in names if name in self._own and name not in self.brokers])
+            case m.EndBrokers(names, leaves):
+                for name in names:
+                    self._end(name, leaves)
+            case m.Expect(living, drained):
+                self._expect(living, frozenset(drained))
+            case m.Command(id, member, name, back):
+                self._command(id, member, name, back)
+            case m.LinkFault() | m.EndLinkFault():
+                self._change_links(message)
+            case m.BeginPhase():
+                self.lateness.begin()
+            case m.AskProgress():
+                self._say(self._progress())
+            case m.AskFigures(memory):
+                self._say(self._figures(memory))
+            case m.Stop():
+                self.loop.stop()
+
+    # --- brokers ---
+
+    def _set_up(self, plan: Plan, names: tuple[str, ...]) -> None:
+        self._plan = plan
+        self._configurations = Configurations(plan)
+        members = plan.members
+        self._places = {one.name: one.place for one in members}
+        self._names = {one.place: one.name for one in members}
+        wanted = set(names)
+        self._own = {one.name: one for one in members if one.name in wanted}
+        self._faults = LinkFaults(plan.seed)
+        self._hole = BlackHole(members[0].host)
+
+    def _start(self, names: list[str]) -> None:
+        """One after the other, with a pause between."""
+        if not names:
+            return
+        self._start_one(names[0])
+        self.loop.call_in(START_GAP, lambda: self._start(names[1:]))
+
+    def _start_one(self, name: str) -> None:
+        assert self._plan is not None and self._configurations is not None and self._faults is not None
+        broker = HollowBroker(
+            self._plan,
+            self._own[name],
+            self._configurations,
+            self.loop,
+            self._log,
+            lambda: self._living,
+            lambda: self._drained,
+        )
+        broker.edge.lose(self._names, self._faults)
+        self.brokers[name] = broker
+        self._apply_cuts(broker)
+
+    def _end(self, name: str, leaves: bool) -> None:
+        broker = self.brokers.pop(name, None)
+        if broker is not None:
+            broker.end(leaves)
+
+    def _expect(self, living: int, drained: frozenset[str]) -> None:
+        self._living, self._drained = living, drained
+        for broker in self.brokers.values():
+            broker.look_at_living()
+            broker.look_at_drained()
+
+    def _command(self, id: str, member: str, name: str, back: bool) -> None:
+        broker = self.brokers.get(member)
+        if broker is not None:
+            broker.propose(id, name, back, lambda why: self._say(m.Committed(id, why)))
+
+    # --- links ---
+
+    def _change_links(self, message: m.LinkFault | m.EndLinkFault) -> None:
+        assert self._faults is not None
+        if isinstance(message, m.LinkFault):
+            self._faults.begin(message)
+        else:
+            self._faults.end(message.id)
+        for broker in self.brokers.values():
+            self._apply_cuts(broker)
+
+    def _apply_cuts(self, broker: HollowBroker) -> None:
+        assert self._faults is not None and self._hole is not None
+        broker.cut(self._faults.cut_from(broker.member.name), self._places, self._hole)
+
+    # --- reports ---
+
+    def _progress(self) -> m.Progress:
+        brokers = list(self.brokers.values())
+        lacking = [one.member.name for one in brokers if not one.knows_living_at or not one.knows_drained_at]
+        return m.Progress(
+            running=len(brokers),
+            settled=sum(not one.fleet.view.unsettled() for one in brokers),
+            knows_living=sum(bool(one.knows_living_at) for one in brokers),
+            living_at=max((one.knows_living_at for one in brokers), default=0),
+            knows_drained=sum(bool(one.knows_drained_at) for one in brokers),
+            drained_at=max((one.knows_drained_at for one in brokers), default=0),
+            late_most=self.lateness.most,
+            late_usual=self.lateness.usual,
+            lacking=tuple(lacking[:LACKING_MOST]),
+        )
+
+    def _figures(self, memory: bool) -> m.Figures:
+        dropped: dict[str, int] = {}
+        for broker in self.brokers.values():
+            for cause, count in broker.fleet.view.dropped.items():
+                dropped[cause] = dropped.get(cause, 0) + count
+        return m.Figures(
+            at=time.monotonic_ns(),
+            brokers=tuple(broker.figures() for broker in self.brokers.values()),
+            processor=dict(self.loop.meter.spent),
+            used=time.process_time_ns(),
+            resident=psutil.Process().memory_info().rss,
+            dropped=dropped,
+            digests=tuple({broker.fleet.view.table.digest for broker in self.brokers.values()}),
+            memory=self._memory() if memory else {},
+        )
+
+    def _memory(self) -> dict[str, int]:
+        """Of one broker, by mechanism: what only that mechanism holds."""
+        broker = next(iter(self.brokers.values()), None)
+        if broker is None:
+            return {}
+        fleet = broker.fleet
+        beyond: list[Any] = [self, self.loop, self._log, broker, fleet, fleet.edge, fleet.entry]
+        beyond += [fleet.log, self._places, self._names, self._configurations]
+        parts = {VIEW: fleet.view, LEDGER: fleet.shared, LOG: fleet.agreed}
+        found = {}
+        for name, part in parts.items():
+            others = [other for other in parts.values() if other is not part]
+            if part is not None:
+                found[name] = reachable_bytes([part], [*beyond, *others])
+        return found
+
+    def close(self) -> None:
+        """Give back all sockets."""
+        for name in list(self.brokers):
+            self._end(name, False)
+        if self._hole is not None:
+            self._hole.close()
+        self._stream.close()
+
+
+def main(descriptor: int, seconds: int) -> None:
+    """Until the parent says so, or ends, or the time is over."""
+    signal.signal(signal.SIGINT, signal.SIG_IGN)  # a terminal sends it to all: the parent decides
+    signal.alarm(seconds)  # ends the process, also where its loop is stuck
+    setup("json", "error")
+    loop = MeteredLoop()
+    host = Host(loop, socket.socket(fileno=descriptor))
+    try:
+        loop.run()
+    finally:
+        host.close()
+        loop.close()
+
+
+if __name__ == "__main__":
+    main(int(sys.argv[1]), int(sys.argv[2]))
--- a/quincepath/fleet/edge.py
+++ b/quincepath/fleet/edge.py
@@ -78,7 +78,9 @@
         on_told: Callable[[Change | Told], None],
     ) -> None:
         self.loop, self.view, self.places, self.on_told = loop, view, places, on_told
-        self.sent: Counter[str] = Counter()  # messages and bytes that went out, by kind
+        # Messages and bytes that went out, by kind. "frames" and "bytes" are of all mechanisms together;
+        # the ledger's ("posted") and the log's also stand apart: what is left is the view's.
+        self.sent: Counter[str] = Counter()
         self.unsent = 0  # datagrams that the system did not take
         self._lines: dict[int, _Line] = {}
         self._ways: dict[str, _Way] = {}
@@ -166,6 +168,7 @@
             return
         self.sent[what] += 1
         self.sent["bytes"] += len(data)
+        self.sent[f"{what}_bytes"] += len(data)
 
     def _readable(self, _: int) -> None:
         inputs: list[Input] = []
@@ -303,6 +306,8 @@
             return
         self.sent["frames"] += 1
         self.sent["bytes"] += len(chunk)
+        self.sent["log_frames"] += 1
+        self.sent["log_bytes"] += len(chunk)
         if way.stream is not None and not way.stream.closed:
             if way.stream.pending < FRAME * 4:
                 way.stream.write(chunk)
@@ -331,7 +336,9 @@
         way.dial = Dial(self.loop, self.places[to], self.view.settings.exchange_time, opened, failed)
 
     def close(self) -> None:
-        """Give back all sockets."""
+        """Give back all sockets; the second time nothing happens."""
+        if self._closed:
+            return
         self._closed = True
         if self._timer is not None:
             self._timer.cancel()
--- a/quincepath/fleet/service.py
+++ b/quincepath/fleet/service.py
@@ -34,7 +34,6 @@
 LOOK = 1_000_000_000  # ns between looks at the figures
 GRAVE = ("dead", "suspect")
 
-
 JSON = {"Content-Type": "application/json"}
 ORDERS = ("drain", "undrain", "close", "halt", "resume", "propose", "adopt", "back")
 NAMELESS = ("halt", "resume", "propose", "adopt", "back")
@@ -104,6 +103,7 @@
         registry: CollectorRegistry,
         base: Path,
         open_store: "OpenStore",
+        make_edge: type[Edge] = Edge,
     ) -> None:
         self.loop, self.entry, self.configured = loop, entry, config.broker.brokers
         self.ramp = config.rules.ramp_time
@@ -142,7 +142,7 @@
         self._differs = False
         self._closed = False
         self._shown: tuple[Counts[str], Counts[str]] = (Counts(), Counts())  # what the metrics have by now
-        self.edge = Edge(loop, self.view, places, entry.host, entry.port, self._told)
+        self.edge = make_edge(loop, self.view, places, entry.host, entry.port, self._told)
         self.agreed: Agreed | None = None
         if entry.keepers:
             from quincepath.fleet import agreed  # only where there is a log
