Conformance: the table of fair turns is read, and a table that no test reads fails

tests/conformance/fair.yaml was left out of the tables on the word that test_fair_table.py reads it, and there is no such file: emptied, all tests passed.

A file of the folder that no row comes of, and a runner that no table names, now fail by a test of their own, and planted ones are found.

--- a/tests/conformance/runner.py
+++ b/tests/conformance/runner.py
@@ -6,7 +6,7 @@
 """
 
 import importlib
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from pathlib import Path
 from typing import Any
 
@@ -45,6 +45,20 @@
     return RUNNERS[table["runner"]], rows
 
 
+def unread(folder: Path, read: Collection[Path]) -> list[str]:
+    """Files in and below a folder that no test reads, as ``read`` tells: all but Python's own."""
+    files = (path for path in folder.rglob("*") if path.is_file() and "__pycache__" not in path.parts)
+    left = [path for path in files if path.suffix != ".py" and path not in read]
+    return sorted(str(path.relative_to(folder)) for path in left)
+
+
+def runners_without_table(folder: Path) -> list[str]:
+    """Runners (``run_NAME.py``) that no table of a folder names."""
+    named = {YAML(typ="safe").load(path.read_text())["runner"] for path in folder.glob("*.yaml")}
+    there = {path.stem.removeprefix("run_") for path in folder.glob("run_*.py")}
+    return sorted(there - named)
+
+
 def differences(run: Run, row: dict[str, Any]) -> list[str]:
     """Where the outcome is not as the row says."""
     found, missing = run(row["given"]), object()
--- a/tests/conformance/test_tables.py
+++ b/tests/conformance/test_tables.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from tests.conformance.runner import HERE, differences, rows_of
+from tests.conformance.runner import HERE, differences, rows_of, runners_without_table, unread
 
-TABLES = sorted(path for path in HERE.glob("*.yaml") if path.stem != "fair")  # test_fair_table.py reads that
+TABLES = sorted(HERE.glob("*.yaml"))
 ROWS = [(path, row["name"]) for path in TABLES for row in rows_of(path)[1]]
 
 
@@ -31,6 +31,21 @@
     assert TABLES
 
 
+def test_no_table_is_left_unread_and_no_runner_without_a_table() -> None:
+    assert unread(HERE, {path for path, _ in ROWS}) == []
+    assert runners_without_table(HERE) == []
+
+
+def test_a_table_that_no_test_reads_and_a_runner_without_a_table_are_found(tmp_path: Path) -> None:
+    (tmp_path / "below").mkdir()
+    names = ("read.yaml", "left_out.yaml", "other.yml", "below/table.yaml", "run_used.py", "run_alone.py")
+    for name in names:
+        (tmp_path / name).write_text("runner: used\nrows: [{name: a, given: {}, then: {b: 1}}]")
+    found = unread(tmp_path, {tmp_path / "read.yaml"})
+    assert found == ["below/table.yaml", "left_out.yaml", "other.yml"]
+    assert runners_without_table(tmp_path) == ["alone"]
+
+
 @pytest.mark.parametrize(
     "text",
     [
