No module imports another in a circle: reception and waiting room, platform service and status

The import graph had two circles, both held apart by imports for types only: the reception named the waiting room's classes while that took a constant from the reception, and the platform's status page named the broker that calls it. Whoever reads or splits one had to read the other.

broker/pending.py now stands between the first two: the turn an ask needs, how a refusal's cause begins, and a protocol of what the reception calls. The broker keeps its waiting room itself instead of reaching through the reception for it, and a turn is built without loading the room. platform/status.py says by a protocol what it reads of a broker. Behaviour is unchanged.

--- a/quincepath/broker/reception.py
+++ b/quincepath/broker/reception.py
@@ -11,19 +11,16 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, replace
-from typing import TYPE_CHECKING, Generic, TypeVar
+from typing import Generic, TypeVar
 
 from quincepath.asks.book import Begin, Decision, Drop, How, Restart, Try
 from quincepath.asks.desk import Desk
 from quincepath.broker.driver import Driver
+from quincepath.broker.pending import PendingQueue, Turn
 from quincepath.limits.admission import Cost
 from quincepath.limits.door import TurnAway
 from quincepath.orders import Arrived, Ask, ClientLeft, Ended, Finish, Input, Order, StartCall, Verdict
 
-if TYPE_CHECKING:
-    from quincepath.broker.waiting import Turn, WaitingRoom
-
-NO_TURN = "no turn: "  # how the cause of a refusal by the turns begins
 C = TypeVar("C")
 R = TypeVar("R")
 
@@ -67,14 +64,14 @@
 class _Running(Generic[C]):
     ask: Ask
     context: C
-    turn: "Turn | None" = None
+    turn: Turn | None = None
 
 
 class Reception(Generic[C, R]):
     """One a broker. ``room``: where asks wait for their turn; None: each goes to the driver at once."""
 
     def __init__(
-        self, driver: Driver, desk: Desk[R], render: Render[C, R], room: "WaitingRoom | None" = None
+        self, driver: Driver, desk: Desk[R], render: Render[C, R], room: PendingQueue | None = None
     ) -> None:
         self.driver, self.desk, self.render, self.room = driver, desk, render, room
         self._running: dict[int, _Running[C]] = {}
@@ -99,7 +96,7 @@
         context: C | None,
         worth: float = 1.0,
         size: int = 0,
-        turn: "Turn | None" = None,
+        turn: Turn | None = None,
     ) -> "Decision[R] | TurnAway":
         """A request; ``ask`` and ``context`` are needed only where it is not known. ``Begin`` has begun.
 
@@ -115,7 +112,7 @@
             self._begin(now, replace(ask, handle=decision.ask), context, turn)
         return decision
 
-    def _begin(self, now: int, ask: Ask, context: C, turn: "Turn | None") -> None:
+    def _begin(self, now: int, ask: Ask, context: C, turn: Turn | None) -> None:
         self._running[ask.handle] = _Running(ask, context, turn)
         if self.room is None or turn is None:
             self._inbox.append(Arrived(ask))
@@ -176,7 +173,7 @@
         ended, self._ended = self._ended, []
         return [*orders, *ended]
 
-    def _turns(self, now: int, room: "WaitingRoom", orders: list[Order | Owed[R] | AskEnded[C, R]]) -> None:
+    def _turns(self, now: int, room: PendingQueue, orders: list[Order | Owed[R] | AskEnded[C, R]]) -> None:
         """What came frees slots; whose turn it is joins this batch, who has none is answered."""
         for item in self._inbox:
             if isinstance(item, Ended):
--- a/quincepath/broker/service/clients.py
+++ b/quincepath/broker/service/clients.py
@@ -7,6 +7,7 @@
 from quincepath.asks.book import Again, Begin, Conflict, Crowded, How, Join, Try
 from quincepath.asks.desk import Desk
 from quincepath.broker.driver import Driver
+from quincepath.broker.pending import Turn
 from quincepath.broker.reception import Owed, Reception, Rendered
 from quincepath.broker.service.guest import Arrival, Guests
 from quincepath.fronts.remote_read.front import (
@@ -26,7 +27,7 @@
 from quincepath.orders import Ask, Finish, Verdict
 
 if TYPE_CHECKING:
-    from quincepath.broker.waiting import Turn, WaitingRoom
+    from quincepath.broker.waiting import WaitingRoom
 
 
 @dataclass(slots=True)
@@ -112,12 +113,11 @@
                 if isinstance(decision, Begin):
                     self.guests.began(now, decision.ask, request.headers)
 
-    def _turn(self, attempt: Try, plan: Plan, now: int) -> "Turn | None":
+    def _turn(self, attempt: Try, plan: Plan, now: int) -> Turn | None:
         """What a room to wait in has to know."""
         if self.reception.room is None:
             return None
-        from quincepath.broker.waiting import Turn  # loaded with such a room only
-        from quincepath.limits.fair import Footprint
+        from quincepath.limits.fair import Footprint  # loaded with such a room only
 
         cells = tuple(sorted({self.front.planner.map.cell_at(part.shard) for part in plan.parts}))
         footprint = Footprint(plan.kind, len(plan.parts), cells, plan.span)
--- a/quincepath/broker/service/core.py
+++ b/quincepath/broker/service/core.py
@@ -90,9 +90,10 @@
         self.door = desk.door
         self.driver = Driver(module, settings, config.rules.drain_grace)
         front = RemoteReadFront(config, self.map)
+        self.waiting_room = waiting_room(config, seed)
         self.clients = Clients(
             front, self.driver, desk, self.guests, loop, self.metrics, self.log, self._trace_of,
-            waiting_room(config, seed),
+            self.waiting_room,
         )  # fmt: skip
         self.reception = self.clients.reception
         self.figures = Figures(self.metrics, self.log, self._trace_of)
@@ -135,7 +136,7 @@
                         self.map,
                         self.reception.note,
                         lambda: self.upstream.counts.opened,
-                        self.reception.room,
+                        self.waiting_room,
                     )  # fmt: skip
                 )
         self.stopping = False
@@ -191,7 +192,7 @@
         metrics = self.metrics
         metrics.open_queries.set(len(self.driver.queries))
         metrics.open_parts.set(len(self.driver.parts))
-        room = self.reception.room
+        room = self.waiting_room
         metrics.waiting.set(room.waiting() if room is not None else 0)
         metrics.connections.labels("clients").set(len(self.server.peers))
         metrics.connections.labels("holders").set(self.upstream.counts.open)
@@ -210,9 +211,9 @@
         self.stopping = True
         self.guests.drain()
         self.door.stop()
-        if self.reception.room is not None:
+        if self.waiting_room is not None:
             longest = max(entry.deadline for entry in self.config.classes)
-            self.reception.room.stop(self.loop.clock() + longest)
+            self.waiting_room.stop(self.loop.clock() + longest)
         self.on_stopped = on_stopped
         self.server.drain()
         self.loop.call_at(self.loop.now, lambda: None)
--- a/quincepath/broker/service/sharing.py
+++ b/quincepath/broker/service/sharing.py
@@ -5,7 +5,8 @@
 from typing import TYPE_CHECKING
 
 from quincepath.broker.driver import Driver, OpenPart
-from quincepath.broker.reception import NO_TURN, AskEnded
+from quincepath.broker.pending import NO_TURN
+from quincepath.broker.reception import AskEnded
 from quincepath.broker.service.guest import Arrival, Guest
 from quincepath.fleet.ledger.facts import Count, Spend, Totals
 from quincepath.fleet.overload import Arrival as Asked
--- a/quincepath/broker/waiting.py
+++ b/quincepath/broker/waiting.py
@@ -8,24 +8,14 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 
-from quincepath.broker.reception import NO_TURN
+from quincepath.broker.pending import NO_TURN, Turn
 from quincepath.interface import Result
-from quincepath.limits.fair import Done, Elsewhere, Enter, Footprint, Freed, Gone, Refuse, Stop
+from quincepath.limits.fair import Done, Elsewhere, Enter, Freed, Gone, Refuse, Stop
 from quincepath.limits.fair import Input as TurnInput
 from quincepath.limits.fair.core import Turns
 from quincepath.orders import Arrived, Ask, Ended, Finish, StartCall, Verdict
 
 
-@dataclass(slots=True, frozen=True)
-class Turn:
-    """What the turns have to know of an ask. ``target``: ns from its arrival; ``deadline``: own clock."""
-
-    tenant: str
-    footprint: Footprint
-    target: int
-    deadline: int
-
-
 @dataclass(slots=True)
 class _Held:
     ask: Ask
--- a/quincepath/platform/status.py
+++ b/quincepath/platform/status.py
@@ -1,13 +1,28 @@
 """What a broker tells of itself: its counts, what it believes is out, and what its connections hold."""
 
 from collections import Counter
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
-if TYPE_CHECKING:
-    from quincepath.platform.service import Broker
+from quincepath.broker.driver import Driver
+from quincepath.net.loop import Loop
+from quincepath.net.server import Exchange, HttpServer
+from quincepath.platform.nodes import Nodes
+from quincepath.platform.targets import Targets
 
 
-def of(broker: "Broker") -> dict[str, Any]:
+class Reported(Protocol):
+    """What of a broker is told of."""
+
+    loop: Loop
+    driver: Driver
+    server: HttpServer
+    nodes: Nodes
+    targets: Targets
+    counts: Counter[str]
+    open: dict[int, Exchange]
+
+
+def of(broker: Reported) -> dict[str, Any]:
     """Counts, and the driver's outstanding attempts beside the connections' own, by node."""
     believed: Counter[str] = Counter()
     for part in broker.driver.parts.values():
--- a/tests/limits/fair/test_broker.py
+++ b/tests/limits/fair/test_broker.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from quincepath.broker.reception import NO_TURN
+from quincepath.broker.pending import NO_TURN
 from quincepath.broker.waiting import WaitingRoom
 from quincepath.lab.load import Seen
 from quincepath.standins.leaf import Service
@@ -21,8 +21,8 @@
     def __init__(self, folder: Path, work: int = 200 * MS, **more: Any) -> None:
         super().__init__(folder, service=Service(work=work), limits={"fair": {**FAIR, **more}})
         room = self.broker.reception.room
-        assert room is not None
-        self.room: WaitingRoom = room
+        assert isinstance(room, WaitingRoom)
+        self.room = room
 
     def run(self, until: Any, longest: float = 30.0) -> None:
         assert self.loop.run_until(until, longest), "it did not come about in time"
--- a/tests/test_rings.py
+++ b/tests/test_rings.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 from typing import Any
 
+import grimp
 import pytest
 
 ROOT = Path(__file__).parent.parent
@@ -51,10 +52,42 @@
     return ".".join(part for part in parts if part != "__init__")
 
 
+def circles(package: str) -> list[list[str]]:
+    """Modules that import each other over any number of others, what is only for types among it."""
+    graph = grimp.build_graph(package, cache_dir=None)
+    found = []
+    for module in sorted(graph.modules):
+        after = graph.find_downstream_modules(module) & graph.find_upstream_modules(module)
+        found += [sorted({module, *after})] if after else []
+    return found
+
+
 def within(name: str, rooms: set[str]) -> bool:
     return any(name == room or name.startswith(room + ".") for room in rooms)
 
 
+def test_no_modules_import_each_other_in_a_circle() -> None:
+    assert circles("quincepath") == []
+
+
+@pytest.mark.parametrize("line", ["from ringed import one", "if TYPE_CHECKING:\n    from ringed import one"])
+def test_a_circle_is_found_also_where_it_is_for_types_only(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, line: str
+) -> None:
+    modules = {
+        "one": "import ringed.two",
+        "two": "import ringed.three",
+        "three": f"from typing import TYPE_CHECKING\n{line}",
+        "apart": "import ringed.one",
+    }
+    (tmp_path / "ringed").mkdir()
+    for name, text in {"__init__": "", **modules}.items():
+        (tmp_path / "ringed" / f"{name}.py").write_text(text + "\n")
+    monkeypatch.syspath_prepend(tmp_path)
+    ring = ["ringed.one", "ringed.three", "ringed.two"]
+    assert circles("ringed") == [ring, ring, ring]
+
+
 def test_all_contracts_are_kept() -> None:
     run = lint(ROOT)
     assert run.returncode == 0, run.stdout + run.stderr
