--- a/quincepath/fleet/configuration/applying.py
+++ b/quincepath/fleet/configuration/applying.py
@@ -1,7 +1,7 @@
 """Deltas and snapshots at a broker: a revision is applied whole or not at all, and never goes back.
 
-Deltas that have come and cannot be applied are held, in bounded number, since a later one may mend them: all
-that is held is then applied in one turn. A delta whose old value is not the one found means that this broker
+What has come and cannot be applied is held, in bounded size, since a later delta may mend it: all that is
+held is then applied in one turn. A delta whose old value is not the one found means that this broker
 differs from the log; only a snapshot mends that.
 """
 
@@ -10,7 +10,14 @@
 
 from quincepath.fleet.configuration.changes import ChangeError, Delta, Edit, Fault, encoded_size
 from quincepath.fleet.configuration.snapshots import Image, read_image
-from quincepath.fleet.configuration.table import NO_RULES, ResourceTable, Rules, difference, merged
+from quincepath.fleet.configuration.table import (
+    NO_RULES,
+    ResourceTable,
+    Rules,
+    apply_edits,
+    difference,
+    merged,
+)
 
 HELD_DELTAS_MOST = 1024
 HELD_BYTES_MOST = 2 << 20
@@ -41,8 +48,16 @@
     return ()
 
 
+@dataclass(slots=True, frozen=True)
+class _Base:
+    """A snapshot that has come and could not be in force; the deltas held lead on from it."""
+
+    revision: int
+    values: dict[str, bytes]
+
+
 class Applier:
-    """The resources in force at ``revision``, the deltas held after it, and the revision that was refused."""
+    """The resources in force at ``revision``, what is held after it, and the revision that was refused."""
 
     def __init__(self, rules: Rules = NO_RULES, check: Check = nothing_more) -> None:
         """``check``: what the broker has against edits beyond their schema; asked before they are applied."""
@@ -51,13 +66,17 @@
         self.revision = 0
         self.refused: RefusedRevision | None = None
         self.needs_snapshot = False
+        self._base: _Base | None = None
         self._held: list[Delta] = []
         self._held_bytes = 0
 
     @property
     def received(self) -> int:
-        """Up to here all deltas are applied or held."""
-        return self.revision + len(self._held)
+        """Up to here everything is applied or held."""
+        base = self.revision if self._base is None else self._base.revision
+        return base + len(self._held)
+
+    # --- deltas ---
 
     def hold(self, deltas: Sequence[Delta]) -> bool:
         """Take in deltas. False: one is missing before them, or there is no room; the others are held."""
@@ -70,32 +89,51 @@
                 return False
             size = encoded_size(delta)
             if len(self._held) >= HELD_DELTAS_MOST or self._held_bytes + size > HELD_BYTES_MOST:
-                self._drop_held()
-                self.needs_snapshot = True
+                self._start_over()
                 return False
             self._held.append(delta)
             self._held_bytes += size
         return True
 
-    def _drop_held(self) -> None:
-        self._held = []
-        self._held_bytes = 0
+    def _start_over(self) -> None:
+        """What is held is of no use: only a snapshot leads on."""
+        self._base, self._held, self._held_bytes = None, [], 0
+        self.needs_snapshot = True
 
     def apply_held(self) -> Applied | None:
-        """Apply as many of the held deltas as can be in force; None where none can."""
-        if not self._held or self.needs_snapshot:
+        """Apply as much of what is held as can be in force; None where nothing can."""
+        if self.needs_snapshot:
+            return None
+        if self._base is not None:
+            return self._apply_from_base(self._base)
+        if not self._held:
             return None
-        edits: tuple[Edit, ...] = ()
         for count in self._counts():
             edits = merged(self._held[:count])
-            if self.table.conflicts(edits):
-                self._diverged(edits)
+            conflicts = self.table.conflicts(edits)
+            if conflicts:
+                self._diverged(conflicts[0])
                 return None
             if not self._faults(edits):
                 return self._take(self._held[count - 1].revision, edits)
         self._refuse(self._held[0].revision, self._faults(merged(self._held[:1])))
         return None
 
+    def _apply_from_base(self, base: _Base) -> Applied | None:
+        """The snapshot that is held and all deltas after it, as one."""
+        values = dict(base.values)
+        for edit in merged(self._held):
+            if values.get(edit.name) != edit.old:
+                self._diverged(Fault(edit.name, "another value", "the old value of the delta", edit.name))
+                return None
+            apply_edits(values, (edit,))
+        edits = difference(self.table.values, values)
+        faults = self._faults(edits)
+        if not faults:
+            return self._take(self.received, edits)
+        self._refuse(base.revision, faults)
+        return None
+
     def _counts(self) -> list[int]:
         """How many of the held deltas are tried at once: all, a few fewer, one."""
         most = len(self._held)
@@ -105,11 +143,9 @@
     def _faults(self, edits: Sequence[Edit]) -> Sequence[Fault]:
         return self.table.faults(edits, self.rules) or self.check(edits)
 
-    def _diverged(self, edits: Sequence[Edit]) -> None:
-        fault = self.table.conflicts(edits)[0]
-        self.refused = RefusedRevision(self._held[0].revision, fault.place, f"differs from the log: {fault}")
-        self._drop_held()
-        self.needs_snapshot = True
+    def _diverged(self, fault: Fault) -> None:
+        self.refused = RefusedRevision(self.received, fault.place, f"differs from the log: {fault}")
+        self._start_over()
 
     def _refuse(self, revision: int, faults: Sequence[Fault]) -> None:
         fault = faults[0]
@@ -118,6 +154,7 @@
     def _take(self, revision: int, edits: tuple[Edit, ...]) -> Applied:
         assert revision > self.revision, "a revision never goes back"
         self.table.apply(edits)
+        self._base = None
         self._held = [delta for delta in self._held if delta.revision > revision]
         self._held_bytes = sum(map(encoded_size, self._held))
         self.revision = revision
@@ -126,22 +163,25 @@
             self._refuse(self._held[0].revision, self._faults(merged(self._held[:1])) or _LATER)
         return Applied(revision, edits)
 
+    # --- snapshots ---
+
     def apply_snapshot(self, image: Image) -> Applied | None:
-        """Put a snapshot in force; None where it is not newer, or is refused."""
+        """Put a snapshot in force; None where it is not newer, cannot be read, or is refused.
+
+        One that is refused is held, since a later delta may mend it: ``received`` then counts from it.
+        """
         if image.revision <= self.revision:
             return None
-        self.needs_snapshot = False
         try:
             content = read_image(image)
         except ChangeError as error:
             self._refuse(image.revision, error.faults)
             return None
-        edits = difference(self.table.values, content.values)
-        faults = self._faults(edits)
-        if faults:
-            self._refuse(image.revision, faults)
-            return None
-        return self._take(image.revision, edits)
+        self.needs_snapshot = False
+        self._held = [delta for delta in self._held if delta.revision > image.revision]
+        self._held_bytes = sum(map(encoded_size, self._held))
+        self._base = _Base(image.revision, content.values)
+        return self.apply_held()
 
 
 _LATER = (
--- a/quincepath/fleet/configuration/delta_log.py
+++ b/quincepath/fleet/configuration/delta_log.py
@@ -16,7 +16,8 @@
         """``floor``: the revision that the first delta begins from."""
         self.floor = self.newest = floor
         self.bytes = 0
-        self._deltas: deque[tuple[Delta, int]] = deque()
+        self._bytes_ever = 0
+        self._deltas: deque[tuple[Delta, int, int]] = deque()  # with its bytes, and those before it
         for delta in deltas:
             self.add(delta)
 
@@ -29,12 +30,21 @@
         if delta.revision != self.newest + 1:
             raise ValueError(f"delta of revision {delta.revision}; expected {self.newest + 1}")
         size = encoded_size(delta)
-        self._deltas.append((delta, size))
+        self._deltas.append((delta, size, self._bytes_ever))
+        self._bytes_ever += size
         self.bytes += size
         self.newest = delta.revision
         while len(self._deltas) > DELTAS_MOST or self.bytes > DELTA_LOG_BYTES_MOST:
-            self.floor = self._deltas[0][0].revision
-            self.bytes -= self._deltas.popleft()[1]
+            self._drop_oldest()
+
+    def _drop_oldest(self) -> None:
+        self.floor = self._deltas[0][0].revision
+        self.bytes -= self._deltas.popleft()[1]
+
+    def forget(self, revision: int) -> None:
+        """Drop the deltas up to a revision, as if the log were full."""
+        while self._deltas and self.floor < revision:
+            self._drop_oldest()
 
     def get(self, revision: int) -> Delta | None:
         """One delta, where it is held."""
@@ -48,16 +58,21 @@
         found: list[Delta] = []
         size = 0
         for at in range(revision - self.floor, len(self._deltas)):
-            delta, more = self._deltas[at]
+            delta, more, _ = self._deltas[at]
             size += more
             if found and size > bytes_most:
                 break
             found.append(delta)
         return tuple(found)
 
+    def bytes_since(self, revision: int) -> int:
+        """Of the deltas after a revision, as far as they are held."""
+        at = max(revision - self.floor, 0)
+        return self._bytes_ever - self._deltas[at][2] if at < len(self._deltas) else 0
+
     def touched_after(self, revision: int, name: str) -> int:
         """The newest later revision that touched a resource; 0: none of those held."""
-        for delta, _ in reversed(self._deltas):
+        for delta, _, _ in reversed(self._deltas):
             if delta.revision <= revision:
                 break
             if any(edit.name == name for edit in delta.edits):
--- a/quincepath/fleet/configuration/relay.py
+++ b/quincepath/fleet/configuration/relay.py
@@ -59,9 +59,10 @@
 SUMMARY_EVERY = 2 * SECOND
 RESUME_EVERY = 200 * MS  # between requests for missing deltas of the log
 RESUME_DELTAS_MOST = 1000  # a subscriber further behind gets a snapshot
+RESUME_BYTES_MOST = 256 * 1024  # of deltas, for one that subscribes; more than a snapshot of 12,000 nodes
 RESEND_WINDOW_AFTER = 500 * MS  # the first pieces of a snapshot, where a subscriber asks again
 BATCHES_KEPT = 64  # encoded, for subscribers at the same revision
-PAUSE = 30 * SECOND  # until a subscriber that refused a snapshot is sent another
+PAUSE = 30 * SECOND  # until a subscriber that could not read a snapshot is sent another
 
 
 @dataclass(slots=True, frozen=True)
@@ -198,7 +199,7 @@
         record = known or SubscriberRecord(name, envelope.boot, self._now, self._now)
         self.records[name] = record
         record.sent, record.resends, record.paused_until = 0, 0, 0
-        record.wants_snapshot = ask.snapshot
+        record.wants_snapshot = ask.snapshot or self.log.bytes_since(ask.received) > RESUME_BYTES_MOST
         record.acknowledged(ask.revision, ask.received, self.log.newest, self._now)
         self._heartbeat(record)
         self._release_slot(record)
@@ -220,7 +221,7 @@
     def _refused(self, record: SubscriberRecord, nack: Nack) -> None:
         if nack.revision >= record.revision:
             record.refusal = nack
-        if nack.refused > nack.received:  # a snapshot: deltas that are refused have been received
+        if nack.refused > nack.received:  # a snapshot that cannot be read: what is refused is received else
             self.slots.release(record.name)
             record.wants_snapshot = False
             record.paused_until = self._now + PAUSE
--- a/quincepath/fleet/configuration/subscriber.py
+++ b/quincepath/fleet/configuration/subscriber.py
@@ -46,7 +46,7 @@
 
 ACK_EVERY = 3 * SECOND  # also without news: the sign of life for the relay
 RESUME_AFTER = 600 * MS  # without progress while the relay has more
-SNAPSHOT_AGAIN = 30 * SECOND  # after one that could not be applied
+SNAPSHOT_AGAIN = 30 * SECOND  # after one that could not be read
 WINDOW_PIECES = 8  # of a snapshot, asked for at once
 NEVER = 1 << 62
 REASON_CHARACTERS_MOST = 400
@@ -93,6 +93,7 @@
         self.applier = Applier(rules, check)
         self.dropped: Counter[str] = Counter()  # messages, by cause
         self._assembly: Assembly | None = None
+        self._assembly_from = ""  # the relay whose snapshot it is
         self._ack_at = NEVER
         self._piece_at = NEVER  # when the next pieces are asked for again
         self._progress_at = -NEVER
@@ -200,12 +201,15 @@
         self._refused = refused
 
     def _take_piece(self, relay: str, piece: SnapshotPiece) -> None:
-        if piece.revision <= self.applier.revision or relay != self.chooser.current:
+        if piece.revision <= self.applier.revision or relay != (self.chooser.current or relay):
             return
-        if self._assembly is None or self._assembly.revision != piece.revision:
+        if self._assembly is None or (self._assembly_from, self._assembly.revision) != (
+            relay,
+            piece.revision,
+        ):
             if piece.offset:
                 return
-            self._assembly = Assembly(piece.revision, piece.total)
+            self._assembly, self._assembly_from = Assembly(piece.revision, piece.total), relay
         if not self._assembly.add(piece):
             return
         self._progress_at = self._now
@@ -218,16 +222,15 @@
     def _take_snapshot(self, relay: str, assembly: Assembly) -> None:
         self._drop_assembly()
         found = self.applier.apply_snapshot(assembly.image())
-        if found is None:
-            self._no_snapshot_before = self._now + SNAPSHOT_AGAIN
-        else:
+        if found is not None:
             self._out.append(Event(EventKind.SNAPSHOT_APPLIED, f"revision {found.revision}"))
+        elif self.applier.received < assembly.revision:
+            self._no_snapshot_before = self._now + SNAPSHOT_AGAIN
         self._applied(found)
-        self._applied(self.applier.apply_held())
         self._acknowledge(relay)
 
     def _drop_assembly(self) -> None:
-        self._assembly, self._piece_at = None, NEVER
+        self._assembly, self._assembly_from, self._piece_at = None, "", NEVER
 
     def _fetch(self, relay: str, assembly: Assembly) -> None:
         self._piece_at = self._now + RESUME_AFTER
@@ -245,7 +248,7 @@
                     self._relay_gone(relay, why)
 
     def _relay_gone(self, relay: str, why: str) -> None:
-        if relay != self.chooser.candidate:
+        if relay == self._assembly_from:
             self._drop_assembly()
         self._out.append(Event(EventKind.RELAY_LEFT, f"{relay}: {why}"))
 
@@ -275,12 +278,10 @@
         relay = self.chooser.current
         if not relay:
             self._ack_at = NEVER
-            self._drop_assembly()
-            return
-        if self._now >= self._ack_at:
+        elif self._now >= self._ack_at:
             self._acknowledge(relay)
         if self._assembly is not None and self._now >= self._piece_at:
-            self._fetch(relay, self._assembly)
+            self._fetch(self._assembly_from, self._assembly)
 
     def _send(self, relay: str, body: Body) -> None:
         data = pack(self.me.fleet, self.me.name, self.me.boot, relay, encode_body(body))
--- a/quincepath/lab/fleet/configuration_world/lean.py
+++ b/quincepath/lab/fleet/configuration_world/lean.py
@@ -37,6 +37,7 @@
         if image.revision <= self.revision:
             return None
         self.needs_snapshot = False
+        self._held = [delta for delta in self._held if delta.revision > image.revision]
         return self._take(image.revision, ())
 
 
--- a/quincepath/lab/fleet/configuration_world/network.py
+++ b/quincepath/lab/fleet/configuration_world/network.py
@@ -36,6 +36,7 @@
         self._events: list[tuple[int, int, Callable[[], None]]] = []
         self._count = 0
         self._free_at: dict[str, int] = {}  # when a sender's link has sent what was handed to it
+        self._last: dict[tuple[str, str], int] = {}  # when the newest of a connection arrives
 
     def at(self, when: int, call: Callable[[], None]) -> None:
         """Plan something."""
@@ -64,7 +65,7 @@
         return self.random.randrange(*(self.network.near if same else self.network.far))
 
     def send(self, sender: str, to: str, size: int, arrive: Callable[[], None]) -> None:
-        """One message of so many bytes; it may be lost, doubled, or late. Cuts count when it is sent."""
+        """One message of so many bytes, in order on its way unless it is late. Cuts count when it is sent."""
         network = self.network
         begun = max(self.now, self._free_at.get(sender, 0))
         self._free_at[sender] = sent_at = begun + size * SECOND // network.bytes_a_second
@@ -73,7 +74,9 @@
         for _ in range(2 if network.doubled and self.random.random() < network.doubled else 1):
             if network.loss and self.random.random() < network.loss:
                 continue
-            delay = self.delay(sender, to)
+            when = sent_at + self.delay(sender, to)
             if network.late and self.random.random() < network.late:
-                delay += self.random.randrange(network.late_by)
-            self.at(sent_at + delay, arrive)
+                self.at(when + self.random.randrange(network.late_by), arrive)
+                continue
+            when = self._last[sender, to] = max(when, self._last.get((sender, to), 0))
+            self.at(when, arrive)
--- a/quincepath/lab/fleet/configuration_world/world.py
+++ b/quincepath/lab/fleet/configuration_world/world.py
@@ -358,6 +358,13 @@
                 return at
         return float("inf")
 
+    def forget_worst_seconds(self) -> None:
+        """Worst seconds count from now on."""
+        for broker in self.brokers.values():
+            broker.traffic.worst_second_bytes = 0
+        for relay in self.relays.values():
+            relay.traffic.worst_second_bytes = 0
+
     def snapshot_bytes(self) -> int:
         """Of all that is committed, compressed."""
         history = self.voters.history
