--- /dev/null
+++ b/quincepath/fleet/configuration/commands.py
@@ -0,0 +1,58 @@
+"""The configuration's command in the consensus log, and what a relay is told of its state machine."""
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from quincepath.fleet.configuration.changes import CHANGE_BYTES_MOST, ChangeError, decode_change
+from quincepath.fleet.configuration.history import History, summed_up
+from quincepath.fleet.configuration.ports import Committed, Loaded
+from quincepath.fleet.messages import Millis, Text
+
+
+class ChangeConfiguration(msgspec.Struct, tag="configuration", frozen=True):
+    """Commit a change, as ``changes.encode_change`` wrote it. ``id`` is the change's own."""
+
+    id: Text
+    by: Text
+    at: Millis
+    change: Annotated[bytes, Meta(max_length=CHANGE_BYTES_MOST)]
+
+
+def refusal_before(history: History, command: ChangeConfiguration) -> str:
+    """Why the leader does not propose it; empty where it does. A repeat is proposed: its answer is known."""
+    try:
+        change = decode_change(command.change)
+    except ChangeError as error:
+        return str(error)
+    if change.id != command.id:
+        return _other_id(command.id, change.id)
+    known = history.known(change)
+    if known is not None:
+        return known.reason
+    return summed_up(history.propose_faults(change))
+
+
+def apply_command(history: History, command: ChangeConfiguration) -> str:
+    """A committed command takes effect; what stands in its way, empty where it is done."""
+    try:
+        change = decode_change(command.change)
+    except ChangeError as error:
+        return str(error)
+    if change.id != command.id:
+        return _other_id(command.id, change.id)
+    return history.apply(change).reason
+
+
+def _other_id(named: str, found: str) -> str:
+    return f"id: {found!r} in the change; expected {named!r}, as the command says"
+
+
+def news_for_relay(history: History, newest: int, age: int = 0) -> Committed | Loaded:
+    """What a relay at revision ``newest`` is missing. ``age``: ns since this was known from the leader."""
+    deltas = history.log.since(newest)
+    if deltas is not None:
+        return Committed(history.revision, deltas, age)
+    kept = history.log.since(history.log.floor) or ()
+    return Loaded(history.revision, dict(history.table.values), kept)
--- a/quincepath/fleet/configuration/history.py
+++ b/quincepath/fleet/configuration/history.py
@@ -80,22 +80,28 @@
 
     def apply(self, change: Change) -> Answer:
         """One committed change. The same id again has the same answer and no effect."""
-        digest = _digest(change)
-        known = self.answers.get(change.id)
+        known = self.known(change)
         if known is not None:
-            if known.digest == digest:
-                return known
-            reason = f"id {change.id!r}: used for another change; expected an id of its own"
-            return Answer(0, reason, digest)
+            return known
+        digest = _digest(change)
         faults = self.propose_faults(change)
         if faults:
-            return self._answer(change, Answer(0, _reason(faults), digest))
+            return self._answer(change, Answer(0, summed_up(faults), digest))
         edits, _ = self._edits(change)
         delta = Delta(self.revision + 1, tuple(edits))
         self.table.apply(edits)
         self.log.add(delta)
         return self._answer(change, Answer(delta.revision, "", digest))
 
+    def known(self, change: Change) -> Answer | None:
+        """The answer to a change whose id was used before; None: it was not."""
+        known = self.answers.get(change.id)
+        digest = _digest(change)
+        if known is None or known.digest == digest:
+            return known
+        reason = f"id {change.id!r}: used for another change; expected an id of its own"
+        return Answer(0, reason, digest)
+
     def _answer(self, change: Change, answer: Answer) -> Answer:
         self.answers[change.id] = answer
         while len(self.answers) > ANSWERS_MOST:
@@ -174,6 +180,7 @@
     return hashlib.blake2b(_encoder.encode(same), digest_size=8).digest()
 
 
-def _reason(faults: Sequence[Fault]) -> str:
+def summed_up(faults: Sequence[Fault]) -> str:
+    """Faults in one bounded line; empty: none."""
     more = f"; and {len(faults) - 3} more" if len(faults) > 3 else ""
     return ("; ".join(map(str, faults[:3])) + more)[:REASON_CHARACTERS_MOST]
--- a/quincepath/fleet/permits.py
+++ b/quincepath/fleet/permits.py
@@ -13,11 +13,13 @@
 from quincepath.fleet.adoption import MAP_COMMANDS, MapCommand, Topology, closed, disturbed, do
 from quincepath.fleet.agreement.entries import Entry
 from quincepath.fleet.budget import Check, Reason, refusals
+from quincepath.fleet.configuration.commands import ChangeConfiguration, apply_command
+from quincepath.fleet.configuration.history import History
 from quincepath.fleet.messages import Millis, Name, Text
 
 HISTORY_MOST = 2000
 IDS_MOST = 4000  # commands remembered, so that a repeat does nothing twice
-SCHEMA = 2  # 1: without maps; it is read as one that has none
+SCHEMA = 3  # 1: without maps, 2: without a configuration; read as one that has none
 DRAIN = "drain"  # the purpose of a permit by which all brokers drain its holder
 
 
@@ -83,7 +85,7 @@
     at: Millis
 
 
-Command = Grant | Begun | Back | Close | Halt | Resume | MapCommand
+Command = Grant | Begun | Back | Close | Halt | Resume | MapCommand | ChangeConfiguration
 
 
 class Permit(msgspec.Struct):
@@ -118,6 +120,7 @@
     history: list[Line] = []
     results: dict[str, str] = {}  # by command's id; empty text: done
     topology: Topology = msgspec.field(default_factory=Topology)
+    configuration: bytes = b""  # as ``History.dump`` writes it; nothing was ever changed: empty
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -135,6 +138,7 @@
 
     def __init__(self) -> None:
         self.state = State()
+        self.configuration = History()
 
     # --- the log ---
 
@@ -165,6 +169,8 @@
         if isinstance(command, MAP_COMMANDS):
             return do(topology, command, index, self.in_the_way())[:400]
         match command:
+            case ChangeConfiguration():
+                return apply_command(self.configuration, command)[:400]
             case Grant():
                 why = self.why_not(command.name, command.checks, _reasons(command.out), command.at)
                 if why:
@@ -198,6 +204,8 @@
 
     def dump(self) -> bytes:
         """For a snapshot."""
+        touched = self.configuration.revision or self.configuration.answers
+        self.state.configuration = self.configuration.dump() if touched else b""
         return _encoder.encode(self.state)
 
     def load(self, data: bytes) -> None:
@@ -206,6 +214,7 @@
         if not 1 <= self.state.schema <= SCHEMA:
             raise ValueError(f"permits of schema {self.state.schema}, this program reads 1 to {SCHEMA}")
         self.state.schema = SCHEMA
+        self.configuration.load(self.state.configuration)
         if self.state.topology.record:
             from quincepath.fleet.forecast import record_of  # a large library comes with it
 
--- /dev/null
+++ b/tests/fleet/configuration/test_wiring.py
@@ -0,0 +1,149 @@
+"""The configuration in the consensus log: lost in a snapshot, misread by or from an older program, undone."""
+
+from typing import Any
+
+import msgspec
+import pytest
+
+from quincepath.fleet.adoption import MapCommand
+from quincepath.fleet.agreed import FINAL, Agreed
+from quincepath.fleet.agreement.core.follower import Follower
+from quincepath.fleet.agreement.entries import COMMAND_MOST, Entry
+from quincepath.fleet.agreement.messages import Followed, Whole
+from quincepath.fleet.configuration.changes import CHANGE_BYTES_MOST, Change, Edit, encode_change
+from quincepath.fleet.configuration.commands import ChangeConfiguration, news_for_relay, refusal_before
+from quincepath.fleet.configuration.ports import Committed, Loaded
+from quincepath.fleet.configuration.relay import Relay, RelayMembership
+from quincepath.fleet.permits import SCHEMA, Back, Begun, Close, Command, Grant, Halt, Permits, Resume, encode
+from tests.fleet.configuration.made import change, tenant
+
+
+def command(told: Change) -> ChangeConfiguration:
+    return ChangeConfiguration(told.id, told.author, told.proposed_at_ms, encode_change(told))
+
+
+def weight(id: str, old: float | None, new: float, at: int = 1) -> ChangeConfiguration:
+    edit = Edit("tenant/a", None if old is None else tenant("a", old), tenant("a", new))
+    return command(change(id, edit, at=at))
+
+
+def entries(*commands: Command) -> list[Entry]:
+    return [Entry(index, 1, encode(one)) for index, one in enumerate(commands, 1)]
+
+
+def machine(*commands: Command) -> Permits:
+    found = Permits()
+    for entry in entries(*commands):
+        found.apply(entry)
+    return found
+
+
+def values(found: Permits) -> dict[str, bytes]:
+    return found.configuration.table.values
+
+
+def test_a_change_in_the_log_is_not_in_force_or_not_in_the_snapshot() -> None:
+    found = machine(weight("one", None, 1.0), weight("two", 1.0, 2.0))
+    assert found.configuration.revision == 2 and values(found) == {"tenant/a": tenant("a", 2.0)}
+    assert found.state.results == {"one": "", "two": ""}
+    assert [(line.what, line.result) for line in found.state.history] == [("changeconfiguration", "done")] * 2
+    again = Permits()
+    again.load(found.dump())
+    assert values(again) == values(found) and again.dump() == found.dump()
+    for one in (found, again):
+        one.apply(Entry(3, 1, encode(weight("three", 1.0, 3.0))))
+        one.apply(Entry(4, 1, encode(weight("one", None, 1.0, at=99))))
+        assert one.configuration.revision == 2
+        assert one.state.results["three"].startswith("tenant/a: {'name': 'a', 'weight': 2.0}; expected")
+    assert again.dump() == found.dump()
+
+
+def test_a_snapshot_of_an_older_program_is_refused_or_brings_a_configuration() -> None:
+    old = msgspec.msgpack.encode({"schema": 2, "halted": "by hand", "results": {"x": ""}})
+    found = machine(weight("one", None, 1.0))
+    found.load(old)
+    assert found.state.halted == "by hand" and found.configuration.revision == 0 and not values(found)
+    assert found.state.schema == SCHEMA
+    found.load(b"")
+    assert found.configuration.revision == 0
+
+
+def test_a_log_without_the_configuration_writes_of_it() -> None:
+    found = machine(Halt("h", "ann", 1, "so"))
+    assert msgspec.msgpack.decode(found.dump())["configuration"] == b""
+
+
+def test_an_older_program_stumbles_over_the_command() -> None:
+    old: Any = Grant | Begun | Back | Close | Halt | Resume | MapCommand
+    with pytest.raises(msgspec.ValidationError):  # Permits notes it as unreadable and goes on
+        msgspec.msgpack.decode(encode(weight("one", None, 1.0)), type=old)
+
+
+def test_the_largest_change_does_not_fit_a_command() -> None:
+    edits: list[Edit] = []
+    while len(encode_change(change("big", *edits, Edit("tenant/x", None, b"")))) < CHANGE_BYTES_MOST - 4200:
+        edits.append(Edit(f"tenant/{len(edits)}", None, b"x" * 4096))
+    assert len(encode(command(change("big", *edits)))) <= COMMAND_MOST
+
+
+def test_what_is_wrong_with_a_command_is_proposed() -> None:
+    found = machine(weight("one", None, 1.0), weight("two", 1.0, 2.0))
+    history = found.configuration
+    assert refusal_before(history, weight("new", 2.0, 3.0)) == ""
+    assert refusal_before(history, weight("one", None, 1.0, at=5)) == ""  # a repeat: its answer is known
+    assert "used for another change" in refusal_before(history, weight("one", 2.0, 9.0))
+    assert "the old value that the change names" in refusal_before(history, weight("new", 1.0, 3.0))
+    assert "less than or equal to 100" in refusal_before(history, weight("new", 2.0, 300.0))
+    assert "edits: none" in refusal_before(
+        history, ChangeConfiguration("new", "ann", 1, b"\x95\xa3new\xa3ann\x01\x90\x00")
+    )
+    assert "expected `array`, got `int`" in refusal_before(
+        history, ChangeConfiguration("new", "ann", 1, b"x")
+    )
+    other = ChangeConfiguration("other", "ann", 1, weight("new", 2.0, 3.0).change)
+    assert refusal_before(history, other) == "id: 'new' in the change; expected 'other', as the command says"
+    for wrong in (other, ChangeConfiguration("bad", "ann", 1, b"x")):
+        found.apply(Entry(3, 1, encode(wrong)))
+        assert "expected" in found.state.results[wrong.id]
+    assert history.revision == 2
+
+
+def test_the_leader_proposes_what_it_should_refuse() -> None:
+    leader = Agreed.__new__(Agreed)
+    leader.machine = machine(weight("one", None, 1.0))
+    good, bad = encode(weight("two", 1.0, 2.0)), encode(weight("three", 7.0, 2.0))
+    assert leader._judged(good) == (good, "")
+    data, why = leader._judged(bad)
+    assert data == bad and why.startswith(f"{FINAL}tenant/a: ")
+
+
+def test_one_that_follows_the_log_has_another_configuration() -> None:
+    log: list[Command] = [weight("one", None, 1.0), Halt("h", "ann", 1, "so"), weight("two", 1.0, 2.0)]
+    follower = Follower(Permits(), ("v1",))
+    follower.hear(0, Followed(tuple(entries(*log)), 3, "v1"))
+    assert isinstance(follower.machine, Permits) and values(follower.machine) == values(machine(*log))
+    late = Follower(Permits(), ("v1",))
+    data = machine(*log).dump()
+    late.hear(0, Whole(3, 0, len(data), data))
+    assert isinstance(late.machine, Permits) and late.machine.configuration.revision == 2
+
+
+def test_a_relay_beside_the_log_misses_a_change() -> None:
+    found = machine(weight("one", None, 1.0))
+    relay = Relay(RelayMembership("test", "r1", 1), 0)
+
+    def told() -> Committed | Loaded:
+        news = news_for_relay(found.configuration, relay.log.newest)
+        relay.step(0, [news])
+        assert (relay.log.newest, relay.values) == (found.configuration.revision, values(found))
+        return news
+
+    assert isinstance(told(), Committed)
+    found.apply(Entry(2, 1, encode(weight("two", 1.0, 2.0))))
+    assert isinstance(told(), Committed)
+    for number in range(3, 6):
+        found.apply(Entry(number, 1, encode(weight(str(number), float(number - 1), float(number)))))
+    found.configuration.log.forget(4)
+    news = told()
+    assert isinstance(news, Loaded) and [delta.revision for delta in news.deltas] == [5]
+    assert told() == Committed(5, ())
