--- a/benchmarks/capacity/scale/command.py
+++ b/benchmarks/capacity/scale/command.py
@@ -15,6 +15,7 @@
 from benchmarks.capacity.scale.run import Run
 
 BROKERS_MOST = 2600
+PEERS_MOST = 1000  # of fleet.peers in a broker's configuration
 REAL_MOST = 10
 STATUS = {Verdict.GOOD: 0, Verdict.FAILED: 1, Verdict.VOID: 3}
 BAD_OPTION = 2
@@ -66,8 +67,13 @@
     out: Path | None,
 ) -> Result:
     """Run a fleet of BROKERS on this machine's loopback, REAL of them as processes of their own."""
-    if real >= brokers:
-        raise click.BadParameter(f"{real}: expected fewer than --brokers ({brokers})", param_hint="--real")
+    if real > brokers:
+        raise click.BadParameter(f"{real}: expected at most --brokers ({brokers})", param_hint="--real")
+    if real and brokers > PEERS_MOST:
+        raise click.BadParameter(
+            f"{real}: expected 0 with over {PEERS_MOST} brokers, the most that a configuration takes",
+            param_hint="--real",
+        )
     if out is not None and not out.absolute().parent.is_dir():
         raise click.BadParameter(f"{out}: expected a file in a folder that exists", param_hint="--out")
     machine = Machine.read()
--- a/benchmarks/capacity/scale/hollow.py
+++ b/benchmarks/capacity/scale/hollow.py
@@ -11,6 +11,7 @@
 from benchmarks.capacity.scale.messages import BrokerFigures
 from benchmarks.capacity.scale.meter import LEDGER, LOAD, LOG, VIEW, MeteredLoop
 from benchmarks.capacity.scale.plan import Configurations, MemberPlan, Plan
+from benchmarks.capacity.scale.traffic import figures_of
 from quincepath.broker.service.fleet import open_keepers_store
 from quincepath.fleet.edge import Edge
 from quincepath.fleet.ledger.facts import Count, Spend
@@ -174,17 +175,7 @@
 
     def figures(self) -> BrokerFigures:
         """What it has sent."""
-        sent = self.edge.sent
-        ledger, log = sent["posted_bytes"], sent["log_bytes"]
-        return BrokerFigures(
-            self.member.name,
-            {
-                VIEW: sent["datagrams"] + sent["frames"] - sent["log_frames"],
-                LEDGER: sent["posted"],
-                LOG: sent["log_frames"],
-            },
-            {VIEW: sent["bytes"] - ledger - log, LEDGER: ledger, LOG: log},
-        )
+        return figures_of(self.member.name, self.edge.sent)
 
     def end(self, leaves: bool) -> None:
         """End without a word, or in good order."""
--- a/benchmarks/capacity/scale/machine.py
+++ b/benchmarks/capacity/scale/machine.py
@@ -66,7 +66,7 @@
 
 def descriptors_wanted(plan: Plan) -> int:
     """Open files of the process that has most of them, by estimate."""
-    brokers = math.ceil((plan.brokers - plan.real) / plan.processes)
+    brokers = math.ceil((plan.brokers - plan.real) / max(plan.processes, 1))
     followers = 2 * plan.brokers if Mechanism.LOG in plan.mechanisms else 0
     return PROCESS_DESCRIPTORS + brokers * BROKER_DESCRIPTORS + followers
 
--- a/benchmarks/capacity/scale/result.py
+++ b/benchmarks/capacity/scale/result.py
@@ -31,10 +31,9 @@
 
 
 class RealFigures(msgspec.Struct, kw_only=True):
-    """Mean of the real brokers: all mechanisms together, and their data path with it."""
+    """Mean of the real brokers. Processor time and memory are of the whole process, with its data path."""
 
-    messages_a_second: float
-    bytes_a_second: float
+    by_mechanism: dict[str, MechanismFigures]
     processor_ms_a_second: float
     resident_bytes: int
     queries_answered: int
@@ -95,53 +94,65 @@
     return msgspec.json.encode(result).decode()
 
 
-class Rates:
-    """Figures of all hosts at the beginning and the end of a phase, as rates of a broker."""
+class Sent:
+    """What brokers sent between two readings, as rates; each broker has times of its own (ns)."""
 
-    def __init__(self, before: Sequence[Figures], after: Sequence[Figures]) -> None:
-        self.seconds = (after[0].at - before[0].at) / SECOND
-        began = {one.name: one for figures in before for one in figures.brokers}
-        ended = [one for figures in after for one in figures.brokers if one.name in began]
-        self._pairs = [(began[one.name], one) for one in ended]
-        self.brokers = len(ended)
-        self.processor: Counter[str] = Counter()
-        for then, now in zip(before, after, strict=True):
-            self.processor.update(now.processor)
-            self.processor.subtract(then.processor)
-        self.used = sum(now.used - then.used for then, now in zip(before, after, strict=True))
+    def __init__(self) -> None:
+        self._rates: list[tuple[BrokerFigures, BrokerFigures, float]] = []
 
-    def processor_ms(self, account: str) -> float:
-        """Of one broker, ms a second."""
-        return self._of_one(self.processor[account])
+    def add(self, began: int, before: BrokerFigures, ended: int, after: BrokerFigures) -> None:
+        """One more broker."""
+        self._rates.append((before, after, (ended - began) / SECOND))
 
     @property
-    def used_ms(self) -> float:
-        """Whole host processes, of one broker, ms a second."""
-        return self._of_one(self.used)
-
-    def _of_one(self, spent: int) -> float:
-        return round(spent / 1e6 / self.seconds / max(self.brokers, 1), 4)
-
-    def mechanism(self, name: str, memory: int | None) -> MechanismFigures:
-        """What one mechanism took."""
-        messages = [self._rate(then.messages, now.messages, name) for then, now in self._pairs]
-        sizes = [self._rate(then.bytes, now.bytes, name) for then, now in self._pairs]
+    def brokers(self) -> int:
+        """How many."""
+        return len(self._rates)
+
+    def mechanism(self, name: str, processor: float | None = None) -> MechanismFigures:
+        """Mean and most of one mechanism."""
+        messages = [(a.messages[name] - b.messages[name]) / seconds for b, a, seconds in self._rates]
+        sizes = [(a.bytes[name] - b.bytes[name]) / seconds for b, a, seconds in self._rates]
         return MechanismFigures(
             messages_a_second=_mean(messages),
             messages_a_second_most=round(max(messages, default=0.0), 2),
             bytes_a_second=_mean(sizes),
             bytes_a_second_most=round(max(sizes, default=0.0), 2),
-            processor_ms_a_second=self.processor_ms(name),
-            memory_bytes=memory,
+            processor_ms_a_second=processor,
         )
 
-    def _rate(self, then: dict[str, int], now: dict[str, int], name: str) -> float:
-        return (now.get(name, 0) - then.get(name, 0)) / self.seconds
 
+class HostRates:
+    """Figures of all hosts at the beginning and the end of a phase."""
 
-def total(figures: BrokerFigures) -> tuple[int, int]:
-    """Messages and bytes of all mechanisms."""
-    return sum(figures.messages.values()), sum(figures.bytes.values())
+    def __init__(self, before: Sequence[Figures], after: Sequence[Figures]) -> None:
+        self.seconds = (after[0].at - before[0].at) / SECOND
+        self.sent = Sent()
+        self._processor: Counter[str] = Counter()
+        self._used = 0
+        for then, now in zip(before, after, strict=True):
+            self._add(then, now)
+
+    def _add(self, then: Figures, now: Figures) -> None:
+        self._processor.update(now.processor)
+        self._processor.subtract(then.processor)
+        self._used += now.used - then.used
+        began = {one.name: one for one in then.brokers}
+        for one in now.brokers:
+            if one.name in began:
+                self.sent.add(then.at, began[one.name], now.at, one)
+
+    def processor_ms(self, account: str) -> float:
+        """Of one broker, ms a second."""
+        return self._of_one(self._processor[account])
+
+    @property
+    def used_ms(self) -> float:
+        """Whole host processes, of one broker, ms a second."""
+        return self._of_one(self._used)
+
+    def _of_one(self, spent: int) -> float:
+        return round(spent / 1e6 / self.seconds / max(self.sent.brokers, 1), 4)
 
 
 def _mean(values: Sequence[float]) -> float:
--- a/benchmarks/capacity/scale/run.py
+++ b/benchmarks/capacity/scale/run.py
@@ -7,9 +7,20 @@
 from benchmarks.capacity.scale import messages as m
 from benchmarks.capacity.scale.hosts import HostError, Hosts
 from benchmarks.capacity.scale.machine import Machine
-from benchmarks.capacity.scale.meter import CONNECTIONS, HARNESS, LOAD, METRICS, Lateness
+from benchmarks.capacity.scale.meter import CONNECTIONS, HARNESS, LOAD, METRICS
 from benchmarks.capacity.scale.plan import Mechanism, Plan
-from benchmarks.capacity.scale.result import SECOND, Event, Rates, Result, Verdict
+from benchmarks.capacity.scale.real import RealBrokers, RealError, direct_address
+from benchmarks.capacity.scale.result import (
+    SECOND,
+    Event,
+    HostRates,
+    RealFigures,
+    Result,
+    Sent,
+    Verdict,
+)
+from benchmarks.capacity.scale.waiting import pause
+from quincepath.lab.process import StartError
 from quincepath.net.loop import Loop
 
 LATE_ALLOWED = 250_000_000  # ns: half of a probe period; a host that was later measured itself
@@ -19,6 +30,7 @@
 START_TIME_A_BROKER = 0.1  # so many more for each broker
 EVENT_TIME = 60.0  # seconds until all know of a kill or a change
 SPARE_TIME = 120  # seconds that a host lives beyond all phases, at most
+UNSETTLED = "the view is not settled"  # begins why a voter judges no drain for now
 OTHER_ACCOUNTS = (METRICS, CONNECTIONS, LOAD, HARNESS)
 
 
@@ -34,11 +46,12 @@
     ) -> None:
         self.plan, self.duration, self.kill_share, self.say = plan, duration, kill_share, say
         self.loop = Loop()
-        self.lateness = Lateness(self.loop)
         self.random = random.Random(f"{plan.seed} run")
         self.began = time.monotonic()
         self.living = plan.brokers
         self._late_most = self._late_usual = 0
+        self._measuring = False  # a measured phase has begun: lateness counts
+        self._broken = False  # a process of the run ended by itself
         self.result = Result(
             verdict=Verdict.FAILED,
             why=[],
@@ -57,13 +70,18 @@
         """The whole run; no process of it is left afterwards, whatever happens."""
         longest = self.start_time + self.duration + 3 * EVENT_TIME + SPARE_TIME
         try:
+            self.real = RealBrokers(self.plan, self.loop, direct_address)
             self.hosts = Hosts(self.loop, self.plan, int(longest))
             try:
                 self._phases()
             finally:
+                self.real.stop()
                 self.hosts.stop()
-        except (RunError, HostError) as error:
+        except RunError as error:
             self.result.why.append(str(error))
+        except (HostError, RealError, StartError) as error:
+            self.result.why.append(str(error))
+            self._broken = True
         finally:
             self.loop.close()
         self._judge()
@@ -86,13 +104,14 @@
 
     def _start(self) -> None:
         began = time.monotonic()
-        self.hosts.tell(m.Expect(self.living))
+        self._expect()
         self.hosts.tell(m.StartBrokers(tuple(one.name for one in self.plan.members)))
-        hollow = self.plan.brokers - self.plan.real
+        if self.plan.real:
+            self.real.start()
 
         def settled(progress: Sequence[m.Progress]) -> bool:
             return all(
-                sum(getattr(one, what) for one in progress) == hollow
+                sum(getattr(one, what) for one in progress) == self.plan.brokers
                 for what in ("running", "settled", "knows_living")
             )
 
@@ -101,21 +120,47 @@
         self.result.settled_after_s = round(time.monotonic() - began, 2)
 
     def _calm(self) -> None:
+        """Rates of hollow and real brokers, taken over the same seconds."""
         self._begin_phase()
+        real_before = self.real.sent()
+        used_before = self._real_used()
         before = self.hosts.ask_figures()
-        self._wait("calm", lambda progress: False, self.duration)
+        self._wait("calm", lambda progress: False, self.duration, ask_real=False)
         after = self.hosts.ask_figures()
-        rates = Rates(before, after)
-        self._note_lateness(self.hosts.ask_progress())
-        memory = after_memory(self.hosts.ask_figures(memory=True))
-        self.result.calm_s = round(rates.seconds, 2)
-        self.result.by_mechanism = {
-            name: rates.mechanism(name, memory.get(name)) for name in self.plan.mechanisms
+        used_after = self._real_used()
+        real_after = self.real.sent()
+        self.result.calm_s = round(self.duration, 2)
+        if after:
+            self._note_hollow(HostRates(before, after), after)
+        if self.plan.real:
+            sent = Sent()
+            for name, (began, figures) in real_before.items():
+                sent.add(began, figures, *real_after[name])
+            self._note_real(sent, (used_after[1] - used_before[1]) / (used_after[0] - used_before[0]))
+
+    def _note_hollow(self, rates: HostRates, after: Sequence[m.Figures]) -> None:
+        result = self.result
+        result.by_mechanism = {
+            name: rates.sent.mechanism(name, rates.processor_ms(name)) for name in self.plan.mechanisms
         }
-        self.result.other_processor_ms_a_second = {one: rates.processor_ms(one) for one in OTHER_ACCOUNTS}
-        self.result.hollow_processor_ms_a_second = rates.used_ms
+        result.other_processor_ms_a_second = {one: rates.processor_ms(one) for one in OTHER_ACCOUNTS}
+        result.hollow_processor_ms_a_second = rates.used_ms
         resident = sum(figures.resident for figures in after)
-        self.result.hollow_resident_bytes = resident // max(rates.brokers, 1)
+        result.hollow_resident_bytes = resident // max(rates.sent.brokers, 1)
+
+    def _note_real(self, sent: Sent, used: float) -> None:
+        brokers = list(self.real.brokers.values())
+        self.result.real_brokers = RealFigures(
+            by_mechanism={name: sent.mechanism(name) for name in self.plan.mechanisms},
+            processor_ms_a_second=round(used * 1000 / len(brokers), 4),
+            resident_bytes=sum(one.resident for one in brokers) // len(brokers),
+            queries_answered=self.real.answers["answered"],
+            queries_not_answered=self.real.answers["not answered"],
+        )
+
+    def _real_used(self) -> tuple[float, float]:
+        """Now, and processor time of all real brokers together (both seconds)."""
+        return time.monotonic(), sum(one.processor for one in self.real.brokers.values())
 
     def _change(self) -> None:
         """One broker is drained through the log, and is back."""
@@ -124,131 +169,170 @@
         self._commit("drain is over", name, back=True)
 
     def _commit(self, what: str, name: str, back: bool) -> None:
+        """Have it committed and wait until all know; asked again where a voter's view is not settled."""
         self._begin_phase()
-        began = time.monotonic_ns()
-        self.hosts.tell(m.Expect(self.living, () if back else (name,)))
-        asked = f"{what} {name}"
-        self.hosts.tell(m.Command(asked, f"b{self.plan.real}", name, back))
+        self._expect(() if back else (name,))
+        member = f"b{self.plan.brokers - 2}"
+        asked, began = "", 0
 
         def known(progress: Sequence[m.Progress]) -> bool:
-            why = self.hosts.committed(asked)
-            if why:
+            nonlocal asked, began
+            why = self._committed(asked) if asked else UNSETTLED
+            if why and UNSETTLED not in why:
                 raise RunError(f"{asked}: {why}")
-            return why == "" and sum(one.knows_drained for one in progress) == self._hollow_living(progress)
+            if why and sum(one.settled for one in progress) == _running(progress):
+                began = time.monotonic_ns()
+                asked = f"{what} {name} {began}"
+                self._command(m.Command(asked, member, name, back))
+            return why == "" and sum(one.knows_drained for one in progress) == _running(progress)
 
         found = self._wait(what, known, EVENT_TIME)
-        progress = self.hosts.ask_progress()
+        progress = self._progress()
         at = max(one.drained_at for one in progress)
-        self._note_event(what, [name], (at - began) / SECOND if found else None,
-                         sum(one.knows_drained for one in progress), progress)  # fmt: skip
+        knows = sum(one.knows_drained for one in progress)
+        self._note_event(what, [name], (at - began) / SECOND if found else None, knows, progress)
+
+    def _command(self, command: m.Command) -> None:
+        if command.member in self.real.brokers:
+            self.real.command(command)
+        else:
+            self.hosts.tell(command)
+
+    def _committed(self, id: str) -> str | None:
+        found = self.hosts.committed(id)
+        return self.real.committed(id) if found is None else found
 
     def _kill(self) -> None:
-        """A share of the hollow brokers end without a word; no voter is among them."""
-        candidates = [
-            one.name for one in self.plan.members[self.plan.real :] if one.name not in self.plan.voters
-        ]
+        """A share of the brokers end without a word: hollow ones where there are any, and no voter."""
+        own = self.plan.members[self.plan.real :] or self.plan.members
+        candidates = [one.name for one in own if one.name not in self.plan.voters]
         many = min(max(round(self.kill_share * self.plan.brokers), 1), len(candidates))
         names = sorted(self.random.sample(candidates, many))
         self.living -= many
         self._begin_phase()
-        self.hosts.tell(m.Expect(self.living))
+        self._expect()
         began = time.monotonic_ns()
         self.hosts.tell(m.EndBrokers(tuple(names)))
+        self.real.end(tuple(names))
 
         def known(progress: Sequence[m.Progress]) -> bool:
-            return sum(one.knows_living for one in progress) == self._hollow_living(progress)
+            return sum(one.knows_living for one in progress) == _running(progress)
 
         found = self._wait("kill", known, EVENT_TIME)
-        progress = self.hosts.ask_progress()
+        progress = self._progress()
         at = max(one.living_at for one in progress)
-        self._note_event("kill", names, (at - began) / SECOND if found else None,
-                         sum(one.knows_living for one in progress), progress)  # fmt: skip
+        knows = sum(one.knows_living for one in progress)
+        self._note_event("kill", names, (at - began) / SECOND if found else None, knows, progress)
 
     def _end(self) -> None:
-        figures = self.hosts.ask_figures()
-        self.result.digests = len({digest for one in figures for digest in one.digests})
+        """Views, drops, and memory: measuring that stops a host for a while, so it comes last."""
+        figures = self.hosts.ask_figures(memory=True)
+        for name, size in largest_memory(figures).items():
+            if name in self.result.by_mechanism:
+                self.result.by_mechanism[name].memory_bytes = size
+        digests = {digest for one in figures for digest in one.digests}
+        self.result.digests = len(digests | self.real.digests())
         for one in figures:
             for cause, count in one.dropped.items():
                 self.result.dropped[cause] = self.result.dropped.get(cause, 0) + count
 
     # --- helpers ---
 
-    @staticmethod
-    def _hollow_living(progress: Sequence[m.Progress]) -> int:
-        return sum(one.running for one in progress)
+    def _expect(self, drained: tuple[str, ...] = ()) -> None:
+        self.hosts.tell(m.Expect(self.living, drained))
+        self.real.expect(self.living, drained)
+
+    def _progress(self, ask_real: bool = True) -> list[m.Progress]:
+        """Of each host, and of the real brokers together."""
+        found = self.hosts.ask_progress()
+        if ask_real and self.real.brokers:
+            found.append(self.real.progress())
+        return found
 
     def _begin_phase(self) -> None:
-        self.lateness.begin()
+        self._measuring = True
         self.hosts.tell(m.BeginPhase())
 
     def _note_lateness(self, progress: Sequence[m.Progress]) -> None:
+        if not self._measuring:
+            return
         self._late_most = max([self._late_most, *(one.late_most for one in progress)])
         self._late_usual = max([self._late_usual, *(one.late_usual for one in progress)])
 
     def _note_event(
         self, what: str, names: list[str], after: float | None, known: int, progress: Sequence[m.Progress]
     ) -> None:
-        self._note_lateness(progress)
         event = Event(
             what=what,
             names=names[:16],
             known_after_s=None if after is None else round(after, 3),
             known_by=known,
-            of=self._hollow_living(progress),
+            of=_running(progress),
             lacking=[name for one in progress for name in one.lacking][:16] if after is None else [],
         )
         self.result.events.append(event)
         if after is None:
             raise RunError(f"{what}: {known} of {event.of} knew within {EVENT_TIME:g} s")
 
-    def _wait(self, phase: str, done: Callable[[Sequence[m.Progress]], bool], longest: float) -> bool:
+    def _wait(
+        self,
+        phase: str,
+        done: Callable[[Sequence[m.Progress]], bool],
+        longest: float,
+        ask_real: bool = True,
+    ) -> bool:
         """Look every ``POLL`` seconds; whether it was done in time."""
         end = time.monotonic() + longest
         shown = 0.0
         while True:
-            progress = self.hosts.ask_progress()
+            progress = self._progress(ask_real)
             if time.monotonic() - shown >= SHOW:
                 shown = time.monotonic()
                 self._show(phase, progress)
+            self._note_lateness(progress)
             if done(progress):
                 return True
             left = end - time.monotonic()
             if left <= 0:
                 return False
-            self.loop.run_until(lambda: False, min(POLL, left))
+            pause(self.loop, min(POLL, left))
 
     def _show(self, phase: str, progress: Sequence[m.Progress]) -> None:
-        late = max(one.late_most for one in progress) / 1e6
+        late = max((one.late_most for one in progress), default=0) / 1e6
         self.say(
-            f"[{time.monotonic() - self.began:6.1f} s] {phase}: {self._hollow_living(progress)} hollow run, "
+            f"[{time.monotonic() - self.began:6.1f} s] {phase}: {_running(progress)} run, "
             f"{sum(one.settled for one in progress)} settled, "
             f"{sum(one.knows_living for one in progress)} know all {self.living}, late by {late:.0f} ms"
         )
 
     def _judge(self) -> None:
-        """Failed before void before good."""
+        """What a late run lacks may come of its lateness: it is void, with what it lacked beside."""
         result = self.result
         result.took_s = round(time.monotonic() - self.began, 1)
         result.late_ms = round(self._late_most / 1e6, 1)
         result.late_usual_ms = round(self._late_usual / 1e6, 1)
         if not result.why and result.digests != 1:
             result.why.append(f"{result.digests} different views at the end: expected 1")
-        if result.why:
-            result.verdict = Verdict.FAILED
-        elif self._late_most > LATE_ALLOWED:
-            result.verdict = Verdict.VOID
+        late = self._late_most > LATE_ALLOWED
+        if late:
             result.why.append(
                 f"hollow processes late by {result.late_ms:g} ms: expected at most "
                 f"{result.late_allowed_ms:g} ms"
             )
+        if late and not self._broken:
+            result.verdict = Verdict.VOID
         else:
-            result.verdict = Verdict.GOOD
+            result.verdict = Verdict.FAILED if result.why else Verdict.GOOD
 
 
-def after_memory(figures: Sequence[m.Figures]) -> dict[str, int]:
+def largest_memory(figures: Sequence[m.Figures]) -> dict[str, int]:
     """Bytes by mechanism of one broker: the largest of those that hosts measured."""
     found: dict[str, int] = {}
     for one in figures:
         for name, size in one.memory.items():
             found[name] = max(found.get(name, 0), size)
     return found
+
+
+def _running(progress: Sequence[m.Progress]) -> int:
+    return sum(one.running for one in progress)
