Scale run: kills, restarts, cuts and losses by a file in the words of the laboratory's scripts

`--faults FILE` plays kill, leave (a restart with `back`), cut, split and lose; zones and regions may stand for their members. Hollow brokers treat what they send themselves: a lost datagram is not sent, and a member that is cut off is reached at an address that takes datagrams and where no connection is ever established. In front of real brokers stands the laboratory's relay. Processes of real brokers are not killed by files.

An event now tells the worst second until all knew (messages and bytes of a broker) and how often a broker came to believe another dead; the calm phase tells the same, where it should be none.

A first trial showed zeros for phases under a second: they are now null.

--- a/benchmarks/capacity/scale/command.py
+++ b/benchmarks/capacity/scale/command.py
@@ -9,6 +9,7 @@
 
 import click
 
+from benchmarks.capacity.scale.faults import FaultError, read_faults
 from benchmarks.capacity.scale.machine import Machine, RefusedError, check, host_processes
 from benchmarks.capacity.scale.plan import PORT, Mechanism, Plan
 from benchmarks.capacity.scale.result import Result, Verdict, line
@@ -51,6 +52,12 @@
 @click.option("--duration", type=click.FloatRange(2, 600), default=20.0, help="Seconds of the calm phase.")
 @click.option("--queries", type=click.FloatRange(0, 1000), default=10.0, help="A second, at each broker.")
 @click.option("--kill-share", type=click.FloatRange(0, 0.5, min_open=True), default=0.02)
+@click.option(
+    "--faults",
+    "fault_path",
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+    help="File of faults, played in place of the kill; see the folder scripts beside this package.",
+)
 @click.option(
     "--processes", type=click.IntRange(1, 190), help="Of hollow brokers; by the cores if not given."
 )
@@ -63,6 +70,7 @@
     duration: float,
     queries: float,
     kill_share: float,
+    fault_path: Path | None,
     processes: int | None,
     out: Path | None,
 ) -> Result:
@@ -88,9 +96,11 @@
             queries=queries,
             folder=folder,
             block=free_block(),
+            relayed=real > 0 and fault_path is not None,
         )
         check(plan, machine)
-        result = Run(plan, machine, duration, kill_share, say).play()
+        faults = None if fault_path is None else read_faults(fault_path, plan)
+        result = Run(plan, machine, duration, kill_share, faults, say).play()
     if out is not None:
         out.write_text(line(result) + "\n")
     return result
@@ -129,7 +139,7 @@
     except click.ClickException as error:
         error.show()
         return BAD_OPTION
-    except RefusedError as error:
+    except (RefusedError, FaultError) as error:
         say(f"refused: {error}")
         return BAD_OPTION
     except (click.Abort, KeyboardInterrupt):
--- a/benchmarks/capacity/scale/hollow.py
+++ b/benchmarks/capacity/scale/hollow.py
@@ -68,6 +68,7 @@
         self.member, self.loop, self._plan = member, loop, plan
         self._expected_living, self._expected_drained = expected_living, expected_drained
         self.knows_living_at = self.knows_drained_at = 0
+        self.deaths = 0  # times that it came to believe another broker dead
         self._drained: frozenset[str] = frozenset()
         self._unreachable: frozenset[str] = frozenset()
         self._queries = 0.0
@@ -117,6 +118,7 @@
         def noted(out: Any) -> None:
             told(out)
             if isinstance(out, Change):
+                self.deaths += out.now.startswith("dead")
                 self.look_at_living()
 
         def drained(names: frozenset[str]) -> None:
--- a/benchmarks/capacity/scale/host.py
+++ b/benchmarks/capacity/scale/host.py
@@ -8,6 +8,7 @@
 import socket
 import sys
 import time
+from collections import Counter
 from typing import Any
 
 import psutil
@@ -38,6 +39,8 @@
         self._own: dict[str, MemberPlan] = {}
         self._places: dict[str, tuple[str, int]] = {}
         self._names: dict[tuple[str, int], str] = {}
+        self._sent_before: Counter[str] = Counter()  # by brokers that have ended
+        self._deaths_before = 0
         self._living = 0
         self._drained: frozenset[str] = frozenset()
         self._faults: LinkFaults | None = None
@@ -115,6 +118,8 @@
         broker = self.brokers.pop(name, None)
         if broker is not None:
             broker.end(leaves)
+            self._sent_before.update(broker.edge.sent)
+            self._deaths_before += broker.deaths
 
     def _expect(self, living: int, drained: frozenset[str]) -> None:
         self._living, self._drained = living, drained
@@ -147,6 +152,9 @@
     def _progress(self) -> m.Progress:
         brokers = list(self.brokers.values())
         lacking = [one.member.name for one in brokers if not one.knows_living_at or not one.knows_drained_at]
+        sent = Counter(self._sent_before)
+        for one in brokers:
+            sent.update(one.edge.sent)
         return m.Progress(
             running=len(brokers),
             settled=sum(not one.fleet.view.unsettled() for one in brokers),
@@ -157,6 +165,9 @@
             late_most=self.lateness.most,
             late_usual=self.lateness.usual,
             lacking=tuple(lacking[:LACKING_MOST]),
+            messages=sent["datagrams"] + sent["posted"] + sent["frames"],
+            bytes=sent["bytes"],
+            deaths=self._deaths_before + sum(one.deaths for one in brokers),
         )
 
     def _figures(self, memory: bool) -> m.Figures:
--- a/benchmarks/capacity/scale/machine.py
+++ b/benchmarks/capacity/scale/machine.py
@@ -23,6 +23,7 @@
 BELIEF_BYTES = 1200  # of one member in the view of another
 BROKER_DESCRIPTORS = 8  # sockets, and connections of the log and of exchanges that stand at once
 PROCESS_DESCRIPTORS = 64
+PAIR_DESCRIPTORS = 3  # of the relay, for one real broker and one other member
 HOLDERS = 3  # stand-in nodes that serve the real brokers' queries
 
 
@@ -68,7 +69,9 @@
     """Open files of the process that has most of them, by estimate."""
     brokers = math.ceil((plan.brokers - plan.real) / max(plan.processes, 1))
     followers = 2 * plan.brokers if Mechanism.LOG in plan.mechanisms else 0
-    return PROCESS_DESCRIPTORS + brokers * BROKER_DESCRIPTORS + followers
+    host = PROCESS_DESCRIPTORS + brokers * BROKER_DESCRIPTORS + followers
+    relay = PROCESS_DESCRIPTORS + (PAIR_DESCRIPTORS * plan.real * plan.brokers if plan.relayed else 0)
+    return max(host, relay)
 
 
 def check(plan: Plan, machine: Machine) -> None:
--- a/benchmarks/capacity/scale/messages.py
+++ b/benchmarks/capacity/scale/messages.py
@@ -124,6 +124,9 @@
     late_most: int
     late_usual: int
     lacking: tuple[str, ...] = ()  # some that do not know, for people
+    messages: int = 0  # sent by all brokers of the host since its start, ended ones included
+    bytes: int = 0
+    deaths: int = 0  # times that one of its brokers came to believe another dead
 
 
 class Committed(msgspec.Struct, tag="committed", frozen=True):
--- a/benchmarks/capacity/scale/plan.py
+++ b/benchmarks/capacity/scale/plan.py
@@ -53,6 +53,7 @@
     queries: float  # a second, at each broker
     folder: str
     block: int = 20
+    relayed: bool = False  # a relay stands in front of each real broker, so that its links can fail
 
     @property
     def members(self) -> list[MemberPlan]:
--- a/benchmarks/capacity/scale/result.py
+++ b/benchmarks/capacity/scale/result.py
@@ -1,6 +1,6 @@
 """The one line of JSON that a run ends with, and how figures are put together for it."""
 
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Sequence
 from enum import StrEnum
 
@@ -49,6 +49,10 @@
     known_by: int
     of: int
     lacking: list[str] = []
+    # Of one hollow broker on average, in the worst second until then; None where it took no whole second.
+    worst_messages_a_second: float | None = None
+    worst_bytes_a_second: float | None = None
+    deaths: int = 0  # times that a hollow broker came to believe another dead, until then
 
 
 class NotCarried(msgspec.Struct, frozen=True):
@@ -71,9 +75,11 @@
     seed: int
     mechanisms: list[str]
     queries_a_second: float
+    faults: str = ""  # what the file of faults is about
     simulated: bool = False
     settled_after_s: float | None = None
     calm_s: float = 0.0
+    calm_deaths: int | None = None  # times that a hollow broker believed one dead, though all ran
     by_mechanism: dict[str, MechanismFigures] = {}
     other_processor_ms_a_second: dict[str, float] = {}  # by account, a broker
     hollow_processor_ms_a_second: float | None = None  # whole host processes, a broker
@@ -94,6 +100,30 @@
     return msgspec.json.encode(result).decode()
 
 
+class WorstSecond:
+    """The most that was sent within any second of a phase; totals are looked at now and then."""
+
+    def __init__(self) -> None:
+        self._looks: deque[tuple[int, int, int]] = deque()
+        self.messages: float | None = None
+        self.bytes: float | None = None
+
+    def look(self, at: int, messages: int, size: int) -> None:
+        """Totals so far, at a time (ns)."""
+        self._looks.append((at, messages, size))
+        while len(self._looks) > 1 and self._looks[1][0] <= at - SECOND:
+            self._looks.popleft()
+        began, messages_then, size_then = self._looks[0]
+        if at >= began + SECOND:
+            seconds = (at - began) / SECOND
+            self.messages = max(self.messages or 0.0, (messages - messages_then) / seconds)
+            self.bytes = max(self.bytes or 0.0, (size - size_then) / seconds)
+
+    def of_each(self, total: float | None, brokers: int) -> float | None:
+        """A total as the mean of so many brokers."""
+        return None if total is None else round(total / max(brokers, 1), 2)
+
+
 class Sent:
     """What brokers sent between two readings, as rates; each broker has times of its own (ns)."""
 
--- a/benchmarks/capacity/scale/run.py
+++ b/benchmarks/capacity/scale/run.py
@@ -5,11 +5,13 @@
 from collections.abc import Callable, Sequence
 
 from benchmarks.capacity.scale import messages as m
+from benchmarks.capacity.scale.faults import FaultFile, Faults
 from benchmarks.capacity.scale.hosts import HostError, Hosts
 from benchmarks.capacity.scale.machine import Machine
 from benchmarks.capacity.scale.meter import CONNECTIONS, HARNESS, LOAD, METRICS
 from benchmarks.capacity.scale.plan import Mechanism, Plan
 from benchmarks.capacity.scale.real import RealBrokers, RealError, direct_address
+from benchmarks.capacity.scale.relayed import RelayedLinks
 from benchmarks.capacity.scale.result import (
     SECOND,
     Event,
@@ -18,6 +20,7 @@
     Result,
     Sent,
     Verdict,
+    WorstSecond,
 )
 from benchmarks.capacity.scale.waiting import pause
 from quincepath.lab.process import StartError
@@ -29,6 +32,7 @@
 START_TIME = 60.0  # seconds until all know all, and
 START_TIME_A_BROKER = 0.1  # so many more for each broker
 EVENT_TIME = 60.0  # seconds until all know of a kill or a change
+EVENTS_MOST = 3  # a drain, its end, and a kill or the end of all faults
 SPARE_TIME = 120  # seconds that a host lives beyond all phases, at most
 UNSETTLED = "the view is not settled"  # begins why a voter judges no drain for now
 OTHER_ACCOUNTS = (METRICS, CONNECTIONS, LOAD, HARNESS)
@@ -42,9 +46,19 @@
     """``say`` gets lines for people."""
 
     def __init__(
-        self, plan: Plan, machine: Machine, duration: float, kill_share: float, say: Callable[[str], None]
+        self,
+        plan: Plan,
+        machine: Machine,
+        duration: float,
+        kill_share: float,
+        faults: FaultFile | None,
+        say: Callable[[str], None],
     ) -> None:
         self.plan, self.duration, self.kill_share, self.say = plan, duration, kill_share, say
+        self.faults = faults
+        self.relays: RelayedLinks | None = None
+        self._worst = WorstSecond()
+        self._deaths_before = self._deaths = 0
         self.loop = Loop()
         self.random = random.Random(f"{plan.seed} run")
         self.began = time.monotonic()
@@ -63,20 +77,28 @@
             seed=plan.seed,
             mechanisms=list(plan.mechanisms),
             queries_a_second=plan.queries,
+            faults="" if faults is None else faults.about,
             late_allowed_ms=LATE_ALLOWED / 1e6,
         )
 
     def play(self) -> Result:
         """The whole run; no process of it is left afterwards, whatever happens."""
-        longest = self.start_time + self.duration + 3 * EVENT_TIME + SPARE_TIME
+        longest = self.start_time + self.duration + EVENTS_MOST * EVENT_TIME + SPARE_TIME
+        if self.faults is not None:
+            longest += self.faults.quiet_from / SECOND
         try:
-            self.real = RealBrokers(self.plan, self.loop, direct_address)
+            if self.plan.relayed:
+                self.relays = RelayedLinks(self.plan, self.loop)
+            address = direct_address if self.relays is None else self.relays.address
+            self.real = RealBrokers(self.plan, self.loop, address)
             self.hosts = Hosts(self.loop, self.plan, int(longest))
             try:
                 self._phases()
             finally:
                 self.real.stop()
                 self.hosts.stop()
+                if self.relays is not None:
+                    self.relays.close()
         except RunError as error:
             self.result.why.append(str(error))
         except (HostError, RealError, StartError) as error:
@@ -97,7 +119,10 @@
         self._calm()
         if Mechanism.LOG in self.plan.mechanisms:
             self._change()
-        self._kill()
+        if self.faults is None:
+            self._kill()
+        else:
+            self._play(self.faults)
         self._end()
 
     # --- phases ---
@@ -129,6 +154,7 @@
         after = self.hosts.ask_figures()
         used_after = self._real_used()
         real_after = self.real.sent()
+        self.result.calm_deaths = self._deaths - self._deaths_before
         self.result.calm_s = round(self.duration, 2)
         if after:
             self._note_hollow(HostRates(before, after), after)
@@ -224,6 +250,43 @@
         knows = sum(one.knows_living for one in progress)
         self._note_event("kill", names, (at - began) / SECOND if found else None, knows, progress)
 
+    def _play(self, file: FaultFile) -> None:
+        """All faults of the file; then all must know all that run, and be settled."""
+        self._begin_phase()
+        began = self.loop.clock()
+        changed_at = began
+
+        def changed() -> None:
+            nonlocal changed_at
+            changed_at = self.loop.clock()
+            self.living = len(faults.running) + len(self.real.brokers)
+            self._expect()
+
+        faults = Faults(
+            file,
+            self.plan,
+            lambda when, call: self._plan_call(began + when, call),
+            self.hosts.tell,
+            changed,
+            None if self.relays is None else self.relays.ways,
+        )
+        self._wait("faults", lambda progress: False, file.quiet_from / SECOND)
+
+        def recovered(progress: Sequence[m.Progress]) -> bool:
+            return all(
+                sum(getattr(one, what) for one in progress) == self.living
+                for what in ("running", "settled", "knows_living")
+            )
+
+        found = self._wait("after faults", recovered, EVENT_TIME)
+        progress = self._progress()
+        at = max(one.living_at for one in progress)
+        knows = sum(one.knows_living for one in progress)
+        self._note_event("faults", [], max(at - changed_at, 0) / SECOND if found else None, knows, progress)
+
+    def _plan_call(self, when: int, call: Callable[[], None]) -> None:
+        self.loop.call_at(when, call)
+
     def _end(self) -> None:
         """Views, drops, and memory: measuring that stops a host for a while, so it comes last."""
         figures = self.hosts.ask_figures(memory=True)
@@ -251,6 +314,8 @@
 
     def _begin_phase(self) -> None:
         self._measuring = True
+        self._worst = WorstSecond()
+        self._deaths_before = self._deaths
         self.hosts.tell(m.BeginPhase())
 
     def _note_lateness(self, progress: Sequence[m.Progress]) -> None:
@@ -269,6 +334,9 @@
             known_by=known,
             of=_running(progress),
             lacking=[name for one in progress for name in one.lacking][:16] if after is None else [],
+            deaths=self._deaths - self._deaths_before,
+            worst_messages_a_second=self._worst.of_each(self._worst.messages, self.result.hollow),
+            worst_bytes_a_second=self._worst.of_each(self._worst.bytes, self.result.hollow),
         )
         self.result.events.append(event)
         if after is None:
@@ -290,6 +358,12 @@
                 shown = time.monotonic()
                 self._show(phase, progress)
             self._note_lateness(progress)
+            self._deaths = sum(one.deaths for one in progress)
+            self._worst.look(
+                time.monotonic_ns(),
+                sum(one.messages for one in progress),
+                sum(one.bytes for one in progress),
+            )
             if done(progress):
                 return True
             left = end - time.monotonic()
