--- /dev/null
+++ b/benchmarks/capacity/limits.py
@@ -0,0 +1,249 @@
+"""Limits in the code that the planned fleet meets, each found by running the real parser or state machine.
+
+A finder builds what the target asks for and sees how much of it is taken. Where only a constant can tell
+(a bound that would need thousands of sockets to reach), its ``answer`` says that it was read, not run.
+"""
+
+from collections.abc import Callable
+
+from pydantic import ValidationError
+
+from benchmarks.capacity.results import LimitFound
+from benchmarks.capacity.site import SECOND, SETS, ZONE_NAMES, configuration, list_body, node_entry
+from benchmarks.capacity.target import BROKERS, NODES, NODES_OF_A_ZONE, REGIONS
+from quincepath.config.schema.fleet import FleetEntry
+from quincepath.fleet.agreement.core import Came, Keeper, Propose, Times
+from quincepath.fleet.agreement.entries import first
+from quincepath.fleet.agreement.messages import Follow
+from quincepath.fleet.edge import CONNECTIONS
+from quincepath.fleet.forecast.messages import Gathering
+from quincepath.fleet.forecast.messages import Message as SampleMessage
+from quincepath.fleet.ledger.facts import LedgerSettings
+from quincepath.fleet.ledger.kept import MEMBERS_MOST as SUMMED_MOST
+from quincepath.fleet.ledger.tally import Tally
+from quincepath.fleet.ledger.tree import Tree
+from quincepath.fleet.messages import FRAME, MEMBERS_MOST, About, Full, Rejected, body_of, pack, unpack
+from quincepath.fleet.permits import Permits
+from quincepath.fleet.sharing.blame import SETS_MOST, Shares
+from quincepath.lab.fleet.script import FleetScript
+from quincepath.net.http1 import HttpError, Limits, ResponseReader
+from quincepath.platform.descriptors import allot
+from quincepath.platform.discovery import BODY_MOST
+from quincepath.platform.targets import Targets, read_list
+
+VIEW, LOAD, LOG = "fleet view", "load totals", "log followers"
+LIST, CONNECT, FORECAST = "node list", "connections to nodes", "forecast of shard maps"
+SCRIPTS, REGION = "fault scripts (test tool)", "regions"
+
+
+def largest(taken: Callable[[int], bool], most: int) -> int:
+    """The largest count up to ``most`` that is taken, by halving; 0 where not even one is."""
+    low, high = 0, most + 1
+    while high - low > 1:
+        middle = (low + high) // 2
+        low, high = (middle, high) if taken(middle) else (low, middle)
+    return low
+
+
+def broker_names(count: int) -> list[str]:
+    """Of the target's fleet."""
+    return [f"broker-{number:04}" for number in range(count)]
+
+
+def _fleet_entry(members: int, **more: object) -> FleetEntry:
+    peers = [
+        {"name": name, "address": f"10.{at >> 8}.{at & 255}.1:7000"}
+        for at, name in enumerate(broker_names(members))
+    ]
+    return FleetEntry.model_validate({"name": "fleet", "member": "broker-0000", "peers": peers, **more})
+
+
+def _error_of(call: Callable[[], object]) -> str:
+    """What a refusal says, in one line; ``taken`` where there is none."""
+    try:
+        call()
+    except (ValidationError, ValueError, HttpError) as error:
+        text = error.errors()[0]["msg"] if isinstance(error, ValidationError) else str(error)
+        return " ".join(text.split())[:160]
+    return "taken"
+
+
+def _accepts(call: Callable[[], object]) -> bool:
+    return _error_of(call) == "taken"
+
+
+def _members_configured() -> LimitFound:
+    most = largest(lambda count: _accepts(lambda: _fleet_entry(count)), BROKERS)
+    said = _error_of(lambda: _fleet_entry(BROKERS))
+    return LimitFound(
+        "members in a configuration", "config/schema/fleet.py", VIEW, most, BROKERS, "members", said
+    )
+
+
+def _about(name: str, number: int) -> About:
+    zone = ZONE_NAMES[number % len(ZONE_NAMES)]
+    return About(name, (1 << 61) + number, 3, 1, 0, (), False, zone, "0.2.0", "c41e77d0c41e")
+
+
+def _full_message(members: int) -> bytes:
+    beliefs = tuple(_about(name, number) for number, name in enumerate(broker_names(members)))
+    return pack("fleet", "broker-0001", beliefs[0], 1 << 61, 1, Full(beliefs))
+
+
+def _full_taken(members: int) -> bool:
+    try:
+        body_of(unpack(_full_message(members), "fleet", "broker-0001", 1 << 30))
+    except Rejected:
+        return False
+    return True
+
+
+def _members_exchanged() -> LimitFound:
+    most = largest(_full_taken, BROKERS)
+    return LimitFound(
+        "members in one exchange of views", "fleet/messages.py MEMBERS_MOST", VIEW, most, BROKERS, "members",
+        f"dropped as an unknown kind beyond {MEMBERS_MOST}",
+    )  # fmt: skip
+
+
+def _bytes_exchanged() -> LimitFound:
+    needed = len(_full_message(BROKERS))
+    answer = "whole view of 2,600 fits" if needed <= FRAME else "dropped as too large"
+    return LimitFound(
+        "bytes of one exchange of views", "fleet/messages.py FRAME", VIEW, FRAME, needed, "bytes", answer
+    )
+
+
+def _members_scripted() -> LimitFound:
+    def script(members: int) -> FleetScript:
+        return FleetScript.model_validate({"about": "a limit", "members": max(members, 2)})
+
+    most, said = (
+        largest(lambda count: _accepts(lambda: script(count)), BROKERS),
+        _error_of(lambda: script(BROKERS)),
+    )
+    return LimitFound(
+        "members in a fault script", "lab/fleet/script.py", SCRIPTS, most, BROKERS, "members", said
+    )
+
+
+def leader(name: str = "broker-0000") -> Keeper:
+    """The only voter of a log, elected."""
+    keeper = Keeper(name, first((name,)), Permits(), 1, 0, Times())
+    keeper.step(keeper.due, [])
+    keeper.step(keeper.due, [Propose(1, b"")])
+    return keeper
+
+
+def _followers() -> LimitFound:
+    keeper = leader()
+    for name in broker_names(BROKERS)[1:]:
+        keeper.step(keeper.now, [Came(name, 0, Follow(0))])
+    return LimitFound(
+        "followers told of commits", "fleet/agreement/core/committed.py FOLLOWERS_MOST", LOG,
+        len(keeper.followers), BROKERS - 1, "followers", "one more is answered when it asks only",
+    )  # fmt: skip
+
+
+def _log_connections() -> LimitFound:
+    return LimitFound(
+        "connections to one member", "fleet/edge.py CONNECTIONS", LOG, CONNECTIONS, BROKERS - 1,
+        "connections", "read, not run: one more is closed at once",
+    )  # fmt: skip
+
+
+def _cells_counted() -> LimitFound:
+    tally = Tally(0)
+    for cell in range(SETS):
+        tally.cell(cell, 1)
+    return LimitFound(
+        "replica sets in load reports", "fleet/ledger/facts.py CELLS_MOST", LOAD, len(tally.counts(1).cells),
+        SETS, "sets", f"not counted: {tally.beyond} of {SETS}",
+    )  # fmt: skip
+
+
+def _sets_blamed() -> LimitFound:
+    shares = Shares()
+    for cell in range(SETS):
+        shares.note(cell, True)
+    kept = sum(1 for cell in range(SETS) if shares.of(cell) > 0)
+    return LimitFound(
+        "replica sets remembered as failing", "fleet/sharing/blame.py SETS_MOST", LOAD, kept, SETS, "sets",
+        f"the oldest beyond {SETS_MOST} is forgotten",
+    )  # fmt: skip
+
+
+def _members_summed() -> LimitFound:
+    names = broker_names(BROKERS)
+    tree = Tree(names[0], names, BROKERS, LedgerSettings())
+    needed = max(len(tree.below(0, place)) for place in range(tree.groups))
+    return LimitFound(
+        "members summed up in one place", "fleet/ledger/kept.py MEMBERS_MOST", LOAD, SUMMED_MOST, needed,
+        "members", f"{tree.groups} groups at the lowest of {tree.top + 1} levels",
+    )  # fmt: skip
+
+
+def _list_bytes() -> LimitFound:
+    body = list_body([node_entry(number) for number in range(NODES)])
+    head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+    said = _error_of(lambda: ResponseReader(Limits(body=BODY_MOST)).feed(head + body))
+    return LimitFound(
+        "bytes of a full list", "platform/discovery.py BODY_MOST", LIST, BODY_MOST, len(body), "bytes", said
+    )
+
+
+def _nodes_away() -> LimitFound:
+    site = configuration().site
+    targets = Targets(site.zones, site.kinds)
+    entries = [node_entry(number) for number in range(NODES)]
+    targets.take(SECOND, 0, read_list(list_body(entries)), base=True)
+    gone = [entry | {"state": "DELETED"} for entry in entries[:NODES_OF_A_ZONE]]
+    targets.take(2 * SECOND, 0, read_list(list_body(gone, 2, full=False)))
+    return LimitFound(
+        "nodes remembered as drained or gone", "platform/targets.py AWAY_MOST", LIST, len(targets.away),
+        NODES_OF_A_ZONE, "nodes", "the oldest is forgotten, and a list that lags may bring it back",
+    )  # fmt: skip
+
+
+def _node_connections() -> LimitFound:
+    shares = allot(configuration().limits.sockets)
+    return LimitFound(
+        "connections to nodes of one process", "platform/descriptors.py allot, 1,024 descriptors", CONNECT,
+        shares.nodes, NODES, "connections", "an idle one is closed for each new one, or it has no place",
+    )  # fmt: skip
+
+
+def _samples_gathered() -> LimitFound:
+    gathering = Gathering(1024)
+    for number, name in enumerate(broker_names(BROKERS)):
+        gathering.take(SampleMessage(name, number, 1, 0, 1, 1024, (), (), ()))
+    return LimitFound(
+        "brokers' samples gathered", "fleet/forecast/messages.py SENDERS_MOST", FORECAST,
+        len(gathering.whole), BROKERS, "brokers", "the first that came gives way",
+    )  # fmt: skip
+
+
+def _regions() -> LimitFound:
+    known = {name for name in FleetEntry.model_fields if "region" in name}
+    said = _error_of(lambda: _fleet_entry(2, region="north"))
+    return LimitFound(
+        "regions told apart", "config/schema/fleet.py", REGION, max(len(known), 1), REGIONS, "regions",
+        f"key region: {said}",
+    )  # fmt: skip
+
+
+FINDERS: tuple[Callable[[], LimitFound], ...] = (
+    _members_configured, _members_exchanged, _bytes_exchanged, _members_scripted, _followers,
+    _log_connections, _cells_counted, _sets_blamed, _members_summed, _list_bytes, _nodes_away,
+    _node_connections, _samples_gathered, _regions,
+)  # fmt: skip
+
+
+def found_limits() -> tuple[LimitFound, ...]:
+    """All that were looked for, those that hold among them (factor up to 1)."""
+    return tuple(find() for find in FINDERS)
+
+
+def below_target(limits: tuple[LimitFound, ...]) -> list[str]:
+    """Names of those that end below the target."""
+    return [limit.name for limit in limits if limit.factor > 1]
