--- a/quincepath/lab/fleet/properties.py
+++ b/quincepath/lab/fleet/properties.py
@@ -122,17 +122,32 @@
 
     def _unanswered(self) -> None:
         """Tries without an answer of any kind, those of brokers that were killed or stood still aside."""
-        lost = 0
+        lost: list[tuple[Ask, End | None]] = []
         for ask, end in self.tries:
             until = ask.at + ask.patience if end is None else end.at
             halted = any(
                 h.broker == ask.broker and h.at <= until and ask.at <= h.until for h in self.book.halts
             )
-            lost += (end is None or end.status <= 0) and not halted
-        self.figures["unanswered"] = lost
+            if (end is None or end.status <= 0) and not halted:
+                lost.append((ask, end))
+        self.figures["unanswered"] = len(lost)
         most = self.script.expect.unanswered
-        if most is not None and lost > most:
-            self.findings.append(f"{lost} tries without an answer: expected at most {most}")
+        if most is not None and len(lost) > most:
+            which = self._which(lost)
+            self.findings.append(f"{len(lost)} tries without an answer: expected at most {most}; {which}")
+
+    def _which(self, tries: list[tuple[Ask, End | None]]) -> str:
+        """By broker and end: how many, and when the first and the last was asked."""
+        asked: dict[tuple[int, str], list[int]] = defaultdict(list)
+        for ask, end in tries:
+            how = "no end" if end is None else "connection lost" if end.status == 0 else "given up"
+            asked[ask.broker, how].append(ask.at - self.begin)
+        names = dict(enumerate(self.script.names))
+        return ", ".join(
+            f"{names.get(broker, f'broker {broker}')}: {len(times)} {how}, "
+            f"asked from {min(times) / SECOND:.2f} to {max(times) / SECOND:.2f} s"
+            for (broker, how), times in sorted(asked.items())
+        )
 
     def _usual(self, within: int) -> None:
         """All that is asked from then on, against the usual."""
--- a/tests/fleet/test_properties.py
+++ b/tests/fleet/test_properties.py
@@ -159,6 +159,20 @@
     assert Day(tmp_path).fill(change).judge(order=0.0, unanswered=0).findings == []
 
 
+def test_tries_without_an_answer_are_told_by_broker_and_end(tmp_path: Path) -> None:
+    def change(at: int, kind: str) -> dict[str, Any]:
+        if 12 * SECOND <= at <= 13 * SECOND:
+            return {"status": 0}
+        return {"status": None} if at == 14 * SECOND else {}
+
+    [finding] = Day(tmp_path).fill(change).judge(unanswered=0).findings
+    assert finding == (
+        "52 tries without an answer: expected at most 0; "
+        "b0: 51 connection lost, asked from 12.00 to 13.00 s, "
+        "b0: 1 no end, asked from 14.00 to 14.00 s"
+    )
+
+
 def test_shards_are_numbered_as_brokers_number_them() -> None:
     assert {shard.name: shard.number for shard in shard_map(3).shards} == {
         "s0": 0, "s1": 3, "s2": 1, "s3": 4, "s4": 2, "s5": 5,
