Scale run: counts as at the planned size, and what the machine cannot carry in virtual time

The ledger's reports were those of the demo's queries, 785 bytes a second a broker, while the planned fleet has many classes, replica sets and tenants; and eight cores do not carry the ledger of 900 brokers at real pace. `--profile target` has hollow brokers count as `benchmarks.fleet_ledger` does. Before a run the processor time wanted is estimated; the dearest mechanism that does not fit is left out, named in the result with the cores it wants, and the ledger is played at the same size in virtual time, called simulated.

--- a/benchmarks/capacity/scale/command.py
+++ b/benchmarks/capacity/scale/command.py
@@ -8,12 +8,16 @@
 from types import FrameType
 
 import click
+import msgspec
 
 from benchmarks.capacity.scale.faults import FaultError, read_faults
+from benchmarks.capacity.scale.load import Profile
 from benchmarks.capacity.scale.machine import Machine, RefusedError, check, host_processes
+from benchmarks.capacity.scale.pace import carried
 from benchmarks.capacity.scale.plan import PORT, Mechanism, Plan
-from benchmarks.capacity.scale.result import Result, Verdict, line
+from benchmarks.capacity.scale.result import NotCarried, Result, Verdict, line
 from benchmarks.capacity.scale.run import Run
+from benchmarks.capacity.scale.simulated import SimulationTimeError, simulate_ledger
 
 BROKERS_MOST = 2600
 PEERS_MOST = 1000  # of fleet.peers in a broker's configuration
@@ -51,6 +55,12 @@
 @click.option("--mechanisms", type=MechanismList(), default=",".join(Mechanism), help="Which are on.")
 @click.option("--duration", type=click.FloatRange(2, 600), default=20.0, help="Seconds of the calm phase.")
 @click.option("--queries", type=click.FloatRange(0, 1000), default=10.0, help="A second, at each broker.")
+@click.option(
+    "--profile",
+    type=click.Choice([one.value for one in Profile]),
+    default=Profile.DEMO.value,
+    help="What hollow brokers count: as the demo's queries, or as at the planned size.",
+)
 @click.option("--kill-share", type=click.FloatRange(0, 0.5, min_open=True), default=0.02)
 @click.option(
     "--faults",
@@ -69,6 +79,7 @@
     mechanisms: tuple[Mechanism, ...],
     duration: float,
     queries: float,
+    profile: str,
     kill_share: float,
     fault_path: Path | None,
     processes: int | None,
@@ -94,18 +105,36 @@
             mechanisms=mechanisms,
             processes=min(processes or host_processes(hollow, machine), hollow),
             queries=queries,
+            profile=Profile(profile),
             folder=folder,
             block=free_block(),
             relayed=real > 0 and fault_path is not None,
         )
+        kept, dropped = carried(plan, machine)
+        for one in dropped:
+            say(f"not carried: {one.mechanism}: {one.why}")
+        plan = msgspec.structs.replace(plan, mechanisms=kept)
         check(plan, machine)
         faults = None if fault_path is None else read_faults(fault_path, plan)
         result = Run(plan, machine, duration, kill_share, faults, say).play()
+    result.not_carried = dropped
+    simulate(plan, result)
     if out is not None:
         out.write_text(line(result) + "\n")
     return result
 
 
+def simulate(plan: Plan, result: Result) -> None:
+    """What the run did not carry, in virtual time; only the ledger can be played so at any size."""
+    if any(one.mechanism == Mechanism.LEDGER for one in result.not_carried):
+        try:
+            found = simulate_ledger(plan.brokers, plan.seed, plan.queries, say)
+        except SimulationTimeError as error:
+            result.not_carried.append(NotCarried(Mechanism.LEDGER, str(error)))
+        else:
+            result.simulated[Mechanism.LEDGER] = found
+
+
 def free_block() -> int:
     """A block of loopback addresses where no other run's first broker listens.
 
--- a/benchmarks/capacity/scale/hollow.py
+++ b/benchmarks/capacity/scale/hollow.py
@@ -8,22 +8,19 @@
 from prometheus_client import CollectorRegistry
 
 from benchmarks.capacity.scale.links import BlackHole, LinkFaults, LossySocket
+from benchmarks.capacity.scale.load import Queries
 from benchmarks.capacity.scale.messages import BrokerFigures
 from benchmarks.capacity.scale.meter import LEDGER, LOAD, LOG, VIEW, MeteredLoop
 from benchmarks.capacity.scale.plan import Configurations, MemberPlan, Plan
 from benchmarks.capacity.scale.traffic import figures_of
 from quincepath.broker.service.fleet import open_keepers_store
 from quincepath.fleet.edge import Edge
-from quincepath.fleet.ledger.facts import Count, Spend
-from quincepath.fleet.overload import Arrival
 from quincepath.fleet.permits import DRAIN, Back, Grant
 from quincepath.fleet.service import Fleet
 from quincepath.fleet.view.core import Input
 from quincepath.fleet.view.facts import Change
 
 LOAD_PERIOD = 250_000_000  # ns between queries that are counted together
-SETS = 3  # replica sets of a made-up query, each asked for two parts, as in the demo's configuration
-PARTS_A_SET = 2
 DRAIN_TIME = 3_600_000  # ms until a drain is overdue
 
 
@@ -88,6 +85,7 @@
         self.look_at_living()
         self.look_at_drained()
         if self.fleet.shared is not None and plan.queries:
+            self._made_up = Queries(member.name, plan.profile, self.fleet.shared)
             loop.call_in(LOAD_PERIOD, self._count_queries)
 
     @property
@@ -143,16 +141,12 @@
             self.knows_drained_at = time.monotonic_ns()
 
     def _count_queries(self) -> None:
-        """Queries since the last time, each of all replica sets and answered in time."""
-        if self._closed or self.fleet.shared is None:
+        """Those since the last time."""
+        if self._closed:
             return
         with self.loop.meter.charged(LOAD):
             self._queries += self._plan.queries * LOAD_PERIOD / 1e9
-            tally = self.fleet.shared.sharing.tally
-            for _ in range(int(self._queries)):
-                self.fleet.shared.arrive(Arrival(0, 1.0, "", "", tuple(range(SETS)), 0, False))
-                tally.spent(Spend.FIRST, SETS * PARTS_A_SET)
-                tally.ended(0, Count.IN_TIME)
+            self._made_up.arrive(int(self._queries))
             self._queries %= 1
         self.loop.call_in(LOAD_PERIOD, self._count_queries)
 
--- a/benchmarks/capacity/scale/plan.py
+++ b/benchmarks/capacity/scale/plan.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from benchmarks.capacity.scale.load import Profile
 from quincepath.config.schema import Config, FleetEntry
 from quincepath.config.schema.fleet import PeerEntry
 from quincepath.lab.demo import ZONES as HOLDER_ZONES
@@ -52,6 +53,7 @@
     processes: int
     queries: float  # a second, at each broker
     folder: str
+    profile: Profile = Profile.DEMO
     block: int = 20
     relayed: bool = False  # a relay stands in front of each real broker, so that its links can fail
 
--- a/benchmarks/capacity/scale/result.py
+++ b/benchmarks/capacity/scale/result.py
@@ -75,8 +75,8 @@
     seed: int
     mechanisms: list[str]
     queries_a_second: float
+    profile: str = ""
     faults: str = ""  # what the file of faults is about
-    simulated: bool = False
     settled_after_s: float | None = None
     calm_s: float = 0.0
     calm_deaths: int | None = None  # times that a hollow broker believed one dead, though all ran
@@ -92,6 +92,7 @@
     late_usual_ms: float | None = None  # 99th percentile of the worst host
     late_allowed_ms: float = 0.0
     not_carried: list[NotCarried] = []
+    simulated: dict[str, MechanismFigures] = {}  # what was not carried, in virtual time
     took_s: float = 0.0
 
 
--- a/benchmarks/capacity/scale/run.py
+++ b/benchmarks/capacity/scale/run.py
@@ -33,6 +33,7 @@
 START_TIME_A_BROKER = 0.1  # so many more for each broker
 EVENT_TIME = 60.0  # seconds until all know of a kill or a change
 EVENTS_MOST = 3  # a drain, its end, and a kill or the end of all faults
+LATE_LOOK = 5.0  # seconds for which lateness is measured where a start failed
 SPARE_TIME = 120  # seconds that a host lives beyond all phases, at most
 UNSETTLED = "the view is not settled"  # begins why a voter judges no drain for now
 OTHER_ACCOUNTS = (METRICS, CONNECTIONS, LOAD, HARNESS)
@@ -77,6 +78,7 @@
             seed=plan.seed,
             mechanisms=list(plan.mechanisms),
             queries_a_second=plan.queries,
+            profile=plan.profile,
             faults="" if faults is None else faults.about,
             late_allowed_ms=LATE_ALLOWED / 1e6,
         )
@@ -141,6 +143,8 @@
             )
 
         if not self._wait("start", settled, self.start_time):
+            self._begin_phase()
+            self._wait("start failed, how late?", lambda progress: False, LATE_LOOK, ask_real=False)
             raise RunError(f"start: not all knew all and were settled within {self.start_time:g} s")
         self.result.settled_after_s = round(time.monotonic() - began, 2)
 
--- /dev/null
+++ b/tests/capacity_scale/test_pace.py
@@ -0,0 +1,48 @@
+"""What the machine cannot carry at real pace must be named, and played in virtual time instead."""
+
+import pytest
+
+from benchmarks.capacity.scale.load import Profile
+from benchmarks.capacity.scale.machine import Machine
+from benchmarks.capacity.scale.pace import carried, wanted_ms
+from benchmarks.capacity.scale.plan import Mechanism, Plan
+from benchmarks.capacity.scale.simulated import SimulationTimeError, simulate_ledger
+
+MACHINE = Machine(memory=64 << 30, descriptors=100_000, cores=8)
+ALL = tuple(Mechanism)
+
+
+def plan(brokers: int) -> Plan:
+    return Plan(brokers, 0, 1, ALL, 6, 30.0, "nowhere", profile=Profile.TARGET)
+
+
+def test_three_hundred_brokers_are_carried_whole() -> None:
+    assert carried(plan(300), MACHINE) == (ALL, [])
+
+
+def test_the_dearest_mechanism_goes_first_and_is_named_with_the_cores_it_wants() -> None:
+    kept, dropped = carried(plan(900), MACHINE)
+    assert kept == (Mechanism.VIEW, Mechanism.LOG)
+    assert [one.mechanism for one in dropped] == [Mechanism.LEDGER]
+    assert f"about {wanted_ms(Mechanism.LEDGER, plan(900)) * 0.9:.1f} cores" in dropped[0].why
+    assert "6 of 8" in dropped[0].why
+
+
+def test_the_view_is_always_played() -> None:
+    kept, dropped = carried(plan(2600), Machine(64 << 30, 100_000, 2))
+    assert kept == (Mechanism.VIEW,)
+    assert {one.mechanism for one in dropped} == {Mechanism.LEDGER, Mechanism.LOG}
+
+
+def test_the_same_seed_simulates_the_same_messages() -> None:
+    first, second = (simulate_ledger(20, 7, 30.0, lambda text: None) for _ in range(2))
+    assert (first.messages_a_second, first.bytes_a_second) == (
+        second.messages_a_second,
+        second.bytes_a_second,
+    )
+    assert first.messages_a_second > 2  # each reports every half second
+
+
+def test_a_simulation_ends_when_its_time_is_over() -> None:
+    with pytest.raises(SimulationTimeError, match="only at"):
+        simulate_ledger(20, 7, 30.0, lambda text: None, longest=0.0)
