--- a/quincepath/fleet/configuration/relay.py
+++ b/quincepath/fleet/configuration/relay.py
@@ -240,7 +240,8 @@
 
     def _serve(self, record: SubscriberRecord) -> None:
         """The next deltas, or a place in the queue for a snapshot, where nothing is on its way."""
-        behind = self.log.newest > record.received or record.wants_snapshot
+        reached = record.revision if record.wants_snapshot else record.received
+        behind = self.log.newest > reached
         if record.sent or not behind or self._now < record.paused_until:
             return
         if self._needs_snapshot(record):
@@ -287,8 +288,9 @@
     def _grant(self) -> None:
         """Free slots go to those that wait, in order."""
         while name := self.slots.next_in_turn():
+            least = max(self.log.floor, self.records[name].revision + 1)
             try:
-                image = self.slots.image(self.log.newest, self.log.floor, self.values)
+                image = self.slots.image(self.log.newest, least, self.values)
             except ChangeError as error:
                 self._out.append(Event(EventKind.SNAPSHOT_FAILED, str(error)))
                 return
--- a/quincepath/fleet/configuration/slots.py
+++ b/quincepath/fleet/configuration/slots.py
@@ -54,10 +54,10 @@
             del self.slots[name]
         return found
 
-    def image(self, revision: int, floor: int, values: Mapping[str, bytes]) -> Image:
-        """A snapshot from which the deltas that are kept lead on; a new one where the last is too old."""
+    def image(self, revision: int, least: int, values: Mapping[str, bytes]) -> Image:
+        """A snapshot at ``least`` or later, a new one where the last is older. ``values`` are the newest."""
         last = self._image
-        if last is None or last.revision < max(floor, revision - IMAGE_LAG_MOST):
+        if last is None or last.revision < max(least, revision - IMAGE_LAG_MOST):
             last = self._image = make_image(revision, values)
             self.made += 1
         return last
--- a/tests/fleet/configuration/test_relay.py
+++ b/tests/fleet/configuration/test_relay.py
@@ -259,6 +259,18 @@
     assert revisions(end.step(Committed(13, tuple(more))), "b2") == [8]
 
 
+def test_a_subscriber_that_asks_for_a_snapshot_gets_one_that_is_no_newer_than_it_is() -> None:
+    end = relay(*FIVE[:3])
+    end.hear("b1", Subscribe(0, 0, snapshot=True))
+    end.hear("b1", Ack(3, 3))
+    end.step(Committed(4, FIVE[3:4]))
+    end.hear("b2", Subscribe(4, 4, snapshot=True))  # the relay has nothing newer, by snapshot or by delta
+    assert not end.relay.slots.slots
+    [piece] = told(end.step(Committed(5, FIVE[4:])), "b2")
+    assert isinstance(piece, SnapshotPiece) and piece.revision == 5
+    assert end.relay.slots.made == 2
+
+
 def test_a_subscriber_far_behind_gets_a_thousand_deltas() -> None:
     end = relay(*weights("a", *(1.0 + number % 2 for number in range(1200))))
     assert isinstance(told(end.hear("b1", Subscribe(100, 100)), "b1")[0], SnapshotPiece)
