--- a/quincepath/fleet/configuration/subscriber.py
+++ b/quincepath/fleet/configuration/subscriber.py
@@ -34,7 +34,6 @@
     Apply,
     Event,
     EventKind,
-    Lost,
     Received,
     Send,
     SubscriberInput,
@@ -286,6 +285,3 @@
     def _send(self, relay: str, body: Body) -> None:
         data = pack(self.me.fleet, self.me.name, self.me.boot, relay, encode_body(body))
         self._out.append(Send(relay, data))
-
-
-__all__ = ["Lost", "Membership", "Subscriber", "SubscriberStatus"]
