--- a/benchmarks/capacity/fit.py
+++ b/benchmarks/capacity/fit.py
@@ -39,6 +39,7 @@
     exponent: float
     exponent_error: float  # standard error
     factor: float
+    residual: float = 0.0  # as a line's: root mean square of the distances, as a share of the mean value
 
     def at(self, size: float) -> float:
         """The value on the curve."""
@@ -57,11 +58,22 @@
         """Whether the cost grows faster than in proportion."""
         return self.power is not None and self.power.exponent > EXPONENT_MOST
 
+    @property
+    def by_power(self) -> bool:
+        """Whether the power law gives the target: where growth is faster than linear, or it fits better."""
+        if self.power is None:
+            return False
+        return self.superlinear or self.power.residual < self.line.residual
+
     def at(self, size: float) -> float:
-        """By the power law where growth is faster than linear, else by the line."""
-        if self.power is not None and self.superlinear:
-            return self.power.at(size)
-        return self.line.at(size)
+        """By the fit that is chosen."""
+        return self.power.at(size) if self.power is not None and self.by_power else self.line.at(size)
+
+    def other_at(self, size: float) -> float | None:
+        """By the other one; None where there is none."""
+        if self.power is None:
+            return None
+        return self.line.at(size) if self.by_power else self.power.at(size)
 
 
 def check_sizes(sizes: Sequence[float]) -> None:
@@ -94,7 +106,10 @@
     if min(sizes) <= 0 or min(values) <= 0:
         return None
     line = fit_line([float(one) for one in np.log(sizes)], [float(one) for one in np.log(values)])
-    return Power(line.slope, line.slope_error, float(np.exp(line.intercept)))
+    factor = float(np.exp(line.intercept))
+    distances = np.asarray(values, dtype=float) - factor * np.asarray(sizes, dtype=float) ** line.slope
+    residual = float((distances**2).mean()) ** 0.5 / float(np.mean(values))
+    return Power(line.slope, line.slope_error, factor, residual)
 
 
 def fit(sizes: Sequence[float], values: Sequence[float]) -> Fit:
--- a/benchmarks/capacity/results.py
+++ b/benchmarks/capacity/results.py
@@ -116,6 +116,13 @@
                 return one
         raise ResultsError(f"result {group}/{name} is missing: expected a fact in capacity.json")
 
+    def has(self, group: str, name: str) -> bool:
+        """Whether a series or fact of that name was measured."""
+        found = self.groups.get(group)
+        if found is None:
+            return False
+        return any(one.name == name for one in found.series) or any(one.name == name for one in found.facts)
+
     def _group(self, name: str) -> Group:
         if name not in self.groups:
             raise ResultsError(f"group {name} is missing in capacity.json: run measure --only {name}")
--- a/tests/capacity/test_fit.py
+++ b/tests/capacity/test_fit.py
@@ -58,3 +58,17 @@
 def test_a_missing_value_is_refused() -> None:
     with pytest.raises(FitError, match="4 sizes and 3 values"):
         fit_line(SIZES, [1, 2, 3])
+
+
+def test_slow_growth_goes_by_the_fit_that_lies_closer_and_the_other_is_known() -> None:
+    slow = fit(SIZES, [3 * size**0.25 for size in SIZES])
+    assert slow.by_power and slow.at(10_000) == pytest.approx(30)
+    other = slow.other_at(10_000)
+    assert other is not None and other > 100
+    straight = fit(SIZES, [100 + size for size in SIZES])
+    assert not straight.by_power and straight.at(10_000) == pytest.approx(10_100)
+
+
+def test_a_power_laws_residual_is_a_share_of_the_mean() -> None:
+    found = fit_power(SIZES, [size**2 for size in SIZES])
+    assert found is not None and found.residual == pytest.approx(0, abs=1e-9)
