A shared list service is asked from the version held: one call a broker, no whole list after refusals

At fault: Discovery._call begins with the whole list, which ends no wait and opens no watch, so each broker needs two calls; and service._carry_out turned each order of the module to read the list into ask_all, which forgot the version and dropped the call that was out.

Now the first call goes on from the list that the broker starts with, where lists must be asked for, and the version is kept after refusals.

--- a/quincepath/platform/discovery.py
+++ b/quincepath/platform/discovery.py
@@ -19,8 +19,9 @@
     for anew, whole; it raises ``ValueError`` if the body is unusable.
 
     ``whole``: the whole list was asked for. ``failed(why)`` is told of each call that brought nothing.
-    ``wait``: ms that a watch may be held; ``shared``: by one service for all brokers. How long all takes at
-    the worst: ``list_clock``.
+    ``wait``: ms that a watch may be held; ``shared``: by one service for all brokers; ``held``: version of
+    the list that the broker starts with, if the first call may go on from it. How long all takes at the
+    worst: ``list_clock``.
     """
 
     def __init__(
@@ -32,11 +33,13 @@
         seed: int,
         wait: int,
         shared: bool = False,
+        held: int | None = None,
     ) -> None:
         self.loop, self.address, self.wait = loop, address, wait
         self._told, self._failed = told, failed
         self._random = random.Random(seed)
-        self.version: int | None = None  # None: the whole list is asked for
+        self.version = held  # None: the whole list is asked for
+        self._heard = False  # a call was answered since the start
         self.failures = 0  # calls in a row that brought nothing
         self.shared = shared  # by all brokers, that is: no agent of this machine's own
         self.refusals = 0  # of these, the last in a row that a shared service answered, saying that it cannot
@@ -58,6 +61,14 @@
         self._drop()
         self._call()
 
+    def ask_again(self) -> None:
+        """Ask for what is new. Where a version is held, the call or the pause that is under way sees to it.
+
+        Guards a shared service against whole lists: each ends the watch, and opening it is one more call.
+        """
+        if self.version is None:
+            self.ask_all()
+
     def ask_all(self) -> None:
         """Ask for the whole list now.
 
@@ -73,7 +84,7 @@
         self._pause = None
         self.calls += 1
         self._whole = self.version is None
-        wait = 0 if self._whole else wait_of(self.wait, self.failures) * MS
+        wait = 0 if self._whole else self._wait() * MS
         answer = answer_of(self.failures)
         self._held_until = self.loop.clock() + wait
         self._timer = self.loop.call_in(wait + answer, self._late)
@@ -82,6 +93,10 @@
         else:
             self._send()
 
+    def _wait(self) -> int:
+        """For how many ms the call for changes that is out may be held: the first one tells at once."""
+        return wait_of(self.wait, self.failures if self._heard else 1)
+
     def _not_opened(self, code: int) -> None:
         self._fail(why(code))
 
@@ -95,7 +110,7 @@
         assert self._stream is not None
         target = "/api/targets"
         if not self._whole:
-            target += f"?since={self.version}&timeout_ms={wait_of(self.wait, self.failures)}"
+            target += f"?since={self.version}&timeout_ms={self._wait()}"
         host = f"{self.address[0]}:{self.address[1]}"
         self._stream.write(request_bytes("GET", target, host, {}, b""))
 
@@ -138,6 +153,7 @@
             return
         self._timer.cancel()
         self._timer = None
+        self._heard = True
         self.failures = self.refusals = 0
         if not response.keep_alive:
             self._drop()
--- a/quincepath/platform/service.py
+++ b/quincepath/platform/service.py
@@ -97,9 +97,11 @@
                 self._listed(config.known, cached=True)
             except BadList as error:  # one that is brought along is no reason not to start
                 log.error("the list of the configuration is unusable: %s", error)
+        must_ask = config.site.must_ask
         self.discovery = Discovery(
             loop, config.discovery, self._discovered, self._discovery_failed, config.seed + 2,
-            WAIT_ASKED if config.site.must_ask else WAIT_PUSHED, shared=config.site.must_ask,
+            WAIT_ASKED if must_ask else WAIT_PUSHED, shared=must_ask,
+            held=self._held_version(config) if must_ask else None,
         )  # fmt: skip
         # What the agent has counts as told from the first moment, and ``known`` may be older: no client is
         # let in before it has spoken, or had the time: a call that breaks off is made again within that.
@@ -116,6 +118,12 @@
         loop.turn_hooks.append(self._turn)
         loop.call_in(REPORT, self._report)
 
+    def _held_version(self, config: Configuration) -> int | None:
+        """Of the whole list that the configuration brought along; None where it brought no usable one."""
+        known = config.known
+        usable = known is not None and known.full and self.targets.version == known.version
+        return self.targets.version if usable else None
+
     # --- clients ---
 
     def _request(self, exchange: Exchange) -> None:
@@ -302,7 +310,7 @@
             case ReadList():
                 self._failure_told = False
                 if not self._watched:  # else the watch is open, and brings all that is new
-                    self.discovery.ask_all()
+                    self.discovery.ask_again()
 
     def _finish(self, finish: Finish) -> None:
         exchange = self._forget(finish.handle)
