Driver's rules: one changed node does not look at the whole list for nodes to forget

With the module's list events mended, one changed node of 12,000 still cost the driver 771 us of processor time and of 1,200 95 us: for each list event `Rules.take_in` looked at every known node for those that have been gone for more than a minute past the grace. The discovery path before it (`platform/targets`, `service._listed`) looks only at the nodes that are named, unless the list is whole. Now the nodes that are gone are kept apart, and only these are looked at; who is forgotten, and when, is the same.

In tests/test_policy_cost.py the step count of a changed node now covers the driver, too (the test fails with the earlier rules), and a new test pins that a node gone for long is forgotten unless it came back.

--- a/quincepath/broker/driver/rules.py
+++ b/quincepath/broker/driver/rules.py
@@ -27,6 +27,7 @@
     def __init__(self, settings: Settings, grace: int) -> None:
         self.settings, self.grace = settings, grace
         self._nodes: dict[NodeId, _Listed] = {}
+        self._gone: dict[NodeId, _Listed] = {}  # those of them whose phase is GONE, until they are forgotten
 
     def take_in(self, now: int, members: Members) -> list[NodeId]:
         """News of the list; one that could not be read changes nothing. Returns who is not ready any more."""
@@ -40,19 +41,28 @@
                     if known.phase is Phase.READY:
                         known.told = now
                         lost.append(node)
-                    known.phase = Phase.GONE
+                    self._enter(node, known, Phase.GONE)
         # Ids come and go all day: who has been gone for long is as unknown as one that was never named.
         old = now - self.grace - FORGOTTEN
-        for node in [n for n, k in self._nodes.items() if k.phase is Phase.GONE and k.told < old]:
-            del self._nodes[node]
+        for node in [node for node, known in self._gone.items() if known.told < old]:
+            del self._gone[node], self._nodes[node]
         for entry in members.entries:
             known = self._nodes.setdefault(entry.node, _Listed(entry.cell, Phase.READY, 0))
             if entry.phase is not Phase.READY and known.phase is Phase.READY:
                 known.told = now
                 lost.append(entry.node)
-            known.cell, known.phase = entry.cell, entry.phase
+            known.cell = entry.cell
+            self._enter(entry.node, known, entry.phase)
         return lost
 
+    def _enter(self, node: NodeId, known: _Listed, phase: Phase) -> None:
+        """Note a node's phase, and whether it is among those to forget later."""
+        known.phase = phase
+        if phase is Phase.GONE:
+            self._gone[node] = known
+        else:
+            self._gone.pop(node, None)
+
     def wrong_send(self, now: int, part: OpenPart, action: Send) -> str:
         """The name of the rule that this send would break; empty where it breaks none."""
         limits = self.settings.limits
--- a/tests/test_policy_cost.py
+++ b/tests/test_policy_cost.py
@@ -9,6 +9,7 @@
 import sys
 from collections.abc import Callable, Iterable
 from dataclasses import replace
+from functools import partial
 from pathlib import Path
 from types import FrameType
 from typing import Any
@@ -17,20 +18,24 @@
 
 from benchmarks import capacity_probe_module as probe
 from benchmarks.replay_worlds import CASES, Case, World, case_settings
+from quincepath.broker.driver import Driver
+from quincepath.broker.driver.rules import FORGOTTEN, NEVER, Rules
 from quincepath.interface import Action, Event, Members, Outcome, Phase, Result, Scope, Send
+from quincepath.orders import Listed
 from quincepath.policy import Aggregator, QueryState
 from quincepath.policy import __file__ as face
 
 TraceFunction = Callable[[FrameType, str, Any], Any]
 POLICY = Path(face).parent
+DRIVER = POLICY.parent / "broker" / "driver"
 FEW, MANY = 16, 130  # parts of a query
 SMALL, LARGE = 1200, 12000  # nodes of a list
 STEPS_RATIO = 1.1  # most that a part of a query of MANY may cost over one of FEW
 TIME_RATIO = 3.0  # the same in processor time, where a busy machine disturbs both figures
 
 
-def steps(work: Callable[[], object]) -> int:
-    """Instructions that the module's files execute while the work is done."""
+def steps(work: Callable[[], object], folders: tuple[Path, ...] = (POLICY,)) -> int:
+    """Instructions that the module's files, or those of other folders, execute while the work is done."""
     count = 0
 
     def step(frame: FrameType, event: str, argument: object) -> TraceFunction:
@@ -39,7 +44,7 @@
         return step
 
     def enter(frame: FrameType, event: str, argument: object) -> TraceFunction | None:
-        if Path(frame.f_code.co_filename).parent != POLICY:
+        if Path(frame.f_code.co_filename).parent not in folders:
             return None
         frame.f_trace_opcodes = True
         return step
@@ -115,23 +120,38 @@
 
 
 def steps_per_change(nodes: int) -> float:
-    """Steps for a list event that names one node, drained and ready again."""
+    """Steps of the driver and its module for a list event that names one node, which goes and comes back."""
     cells = nodes // probe.REPLICAS
-    module = Aggregator(probe.site(cells=cells), 1)
-    module.handle(probe.START, [probe.node_list(nodes, cells)])
+    settings = probe.site(cells=cells)
+    broker = Driver(Aggregator(settings, 1), settings, probe.SECOND)
+    broker.step(probe.START, [Listed(probe.node_list(nodes, cells))])
     phases = (Phase.DRAINING, Phase.READY, Phase.GONE, Phase.READY)
     deltas = [
         Members(Scope.DELTA, 2, (probe.entry(number, cells, phase),))
         for number in range(0, nodes, nodes // 20)
         for phase in phases
     ]
-    return steps(lambda: [module.handle(probe.START, [delta]) for delta in deltas]) / len(deltas)
+    tell = partial(broker.step, probe.START)
+    return steps(lambda: [tell([Listed(delta)]) for delta in deltas], (POLICY, DRIVER)) / len(deltas)
 
 
 def test_one_changed_node_costs_the_same_in_a_list_ten_times_as_long() -> None:
     assert steps_per_change(LARGE) <= STEPS_RATIO * steps_per_change(SMALL)
 
 
+@pytest.mark.parametrize("back", [False, True])
+def test_a_node_that_is_gone_for_long_is_forgotten_unless_it_came_back(back: bool) -> None:
+    rules, node, now = Rules(probe.site(), probe.SECOND), probe.node_id(0), probe.START
+    rules.take_in(now, probe.node_list(2, probe.CELLS))
+    for phase in (Phase.GONE, Phase.READY)[: 1 + back]:
+        rules.take_in(now, Members(Scope.DELTA, 2, (probe.entry(0, probe.CELLS, phase),)))
+    other = Members(Scope.DELTA, 3, (probe.entry(1, probe.CELLS),))
+    rules.take_in(now + probe.SECOND + FORGOTTEN, other)
+    assert (rules.leave_by(node) == NEVER) is back
+    rules.take_in(now + probe.SECOND + FORGOTTEN + 1, other)
+    assert rules.leave_by(node) == NEVER  # ready, or as unknown as one that was never named
+
+
 def test_processor_time_follows_the_steps() -> None:
     few, many = (probe.part_cost_seconds(parts, measured=520) for parts in (FEW, MANY))
     assert many <= TIME_RATIO * few
