Capacity: quality of choice by the number of brokers, faults over three seeds

Each broker of the planned fleet sends a node 2.6 parts a second and so mostly has none out there; nobody had measured when "least loaded by own count" stops telling replicas apart. The group quality plays the emulator at a constant load of each node (80%) with 8 to 128 brokers: random choice, own count, true queues, the module as it is. Rack and zone are now played with three seeds, since one seed and small sizes gave a slope by chance.

No change to the choice is made here.

The cut between regions stays at one seed and up to 180 brokers.

--- a/benchmarks/capacity/commands.py
+++ b/benchmarks/capacity/commands.py
@@ -16,7 +16,7 @@
 
 GROUPS = (
     "module", "driver", "frames", "sockets", "listing", "view", "faults", "totals", "followers", "cold",
-    "exchanges",
+    "exchanges", "quality",
 )  # fmt: skip
 LATER = ("configuration",)  # takes in what another benchmark has written; measured when named
 LIMITS = "limits"
--- a/benchmarks/capacity/faults.py
+++ b/benchmarks/capacity/faults.py
@@ -10,10 +10,12 @@
 from benchmarks.capacity.measuring import Measured, series
 from benchmarks.capacity.results import Point, Series
 from benchmarks.capacity.site import SECOND
-from benchmarks.capacity.view import SEED, script
+from benchmarks.capacity.view import script
 from quincepath.lab.fleet.virtual import Virtual
 
 SIZES = (24, 60, 120, 240)
+CUT_SIZES = (18, 45, 90, 180)  # a cut is told of by all: the costliest to play
+SEEDS, CUT_SEEDS = (41, 42, 43), (41,)
 AT, LENGTH = 3, 25  # seconds
 CUT_SECONDS = 30
 RACK, ZONE = 0.02, 0.1  # shares of the brokers
@@ -22,9 +24,9 @@
 class FaultRun:
     """One script with one fault; the worst second and how long until all is as it should be."""
 
-    def __init__(self, members: int, fault: dict[str, Any]) -> None:
+    def __init__(self, members: int, seed: int, fault: dict[str, Any]) -> None:
         length = LENGTH if fault["kind"] == "kill" else LENGTH + CUT_SECONDS
-        self.world = Virtual(script(members, faults=[fault]), SEED, warm=True)
+        self.world = Virtual(script(members, faults=[fault]), seed, warm=True)
         self.worst = 0
         before = 0
         for second in range(1, length + 1):
@@ -61,23 +63,31 @@
     return {"kind": "split", "at": f"{AT}s", "last": f"{CUT_SECONDS}s", "sides": sides}
 
 
-def _fault_series(name: str, fault: Callable[[int], dict[str, Any]], known: bool) -> tuple[Series, Series]:
-    runs = {members: FaultRun(members, fault(members)) for members in SIZES}
-    worst = tuple(Point(size, (run.worst / size,)) for size, run in runs.items())
+def _fault_series(
+    name: str,
+    fault: Callable[[int], dict[str, Any]],
+    sizes: tuple[int, ...],
+    seeds: tuple[int, ...],
+    known: bool,
+) -> tuple[Series, Series]:
+    """The worst second, a broker, and the time after it; one value a seed."""
+    runs = {size: [FaultRun(size, seed, fault(size)) for seed in seeds] for size in sizes}
+    worst = tuple(Point(size, tuple(run.worst / size for run in found)) for size, found in runs.items())
     after = tuple(
-        Point(size, (run.known_seconds if known else run.settled_seconds,)) for size, run in runs.items()
+        Point(size, tuple(run.known_seconds if known else run.settled_seconds for run in found))
+        for size, found in runs.items()
     )
     what = "until all know" if known else "until all agree again"
     return (
-        series(f"{name}: messages in the worst second", "messages", "brokers", worst, seeds=(SEED,)),
-        series(f"{name}: {what}", "s", "brokers", after, seeds=(SEED,)),
+        series(f"{name}: messages in the worst second", "messages", "brokers", worst, seeds=seeds),
+        series(f"{name}: {what}", "s", "brokers", after, seeds=seeds),
     )
 
 
 def measure() -> Measured:
     """All three faults at all sizes."""
     return (
-        *_fault_series("rack", _kill(RACK), True),
-        *_fault_series("zone", _kill(ZONE), True),
-        *_fault_series("cut", _cut, False),
+        *_fault_series("rack", _kill(RACK), SIZES, SEEDS, True),
+        *_fault_series("zone", _kill(ZONE), SIZES, SEEDS, True),
+        *_fault_series("cut", _cut, CUT_SIZES, CUT_SEEDS, False),
     ), ()
--- a/benchmarks/capacity/role_rows.py
+++ b/benchmarks/capacity/role_rows.py
@@ -5,6 +5,7 @@
 from benchmarks.capacity.limits import CONNECT, LIST, LOAD, LOG, VIEW
 from benchmarks.capacity.rows import RowSpec, Term
 from benchmarks.capacity.target import (
+    ANSWER_SECONDS,
     BROKERS,
     CONFIGURATION_CHANGES,
     CONTROL_MACHINES,
@@ -244,6 +245,50 @@
     ]
 
 
+QUALITY, QUALITY_BROKERS = "quality of choice", 64
+CHOICE = "least loaded by own count"
+WAYS = {
+    "random replica": "none",
+    "own count": CHOICE,
+    "true queues": "none: not to be had",
+    "decision module": CHOICE,
+}
+QUALITY_ROWS = [
+    *(
+        RowSpec(
+            QUALITY,
+            f"99th of answers at {QUALITY_BROKERS} brokers, {way}",
+            mechanism,
+            "ms",
+            (Term("quality", f"99th, {way}", QUALITY_BROKERS, MILLI),),
+            ANSWER_SECONDS * MILLI,
+        )
+        for way, mechanism in WAYS.items()
+    ),
+    *(
+        RowSpec(
+            QUALITY,
+            f"in time at {QUALITY_BROKERS} brokers, {way}",
+            mechanism,
+            "%",
+            (Term("quality", f"in time, {way}", QUALITY_BROKERS, PERCENT),),
+        )
+        for way, mechanism in WAYS.items()
+    ),
+    *(
+        RowSpec(
+            QUALITY,
+            f"gain kept at {brokers} brokers, {way}",
+            CHOICE,
+            "%",
+            (Term("quality", f"gain kept, {way}", brokers, PERCENT),),
+        )
+        for way, mechanism in WAYS.items()
+        if mechanism == CHOICE
+        for brokers in (8, 16, 32, 64, 128)
+    ),
+]
+
 FAILURE_ROWS = [
     _worked(
         FAILURES,
