Capacity: load totals to 1,000 brokers, whole broker with three replicas a set, groups measured again

The whole broker on sockets had one node a replica set where the module's own probe has three, so the two could not be compared; it now has three, on 780 stand-in nodes.

--- a/benchmarks/capacity/sockets.py
+++ b/benchmarks/capacity/sockets.py
@@ -14,7 +14,7 @@
 )
 from benchmarks.capacity.peers import child, first_line
 from benchmarks.capacity.results import Evidence, Point
-from benchmarks.capacity.site import MS, SECOND, configuration, list_body, node_entry
+from benchmarks.capacity.site import MS, REPLICAS, SECOND, configuration, list_body, node_entry
 from quincepath.net.http1 import Limits
 from quincepath.net.loop import READ, Loop
 from quincepath.net.server import Exchange, HttpServer, Times
@@ -24,7 +24,7 @@
 from quincepath.platform.service import Broker
 
 PARTS = (13, 26, 52, 130, 260)
-NODES = 260
+NODES = 260 * REPLICAS
 WARM, QUERIES, OPEN = 10, 30, 4
 CONNECTIONS = (25, 50, 100, 250)
 DATAGRAMS = 2000
@@ -85,7 +85,7 @@
 def _whole_broker(ports: list[int], parts: int) -> float:
     """Processor time of a broker a query, by a client in another process with some queries open at once."""
     loop = Loop()
-    entries = [node_entry(n, parts, f"127.0.0.1:{port}") for n, port in enumerate(ports[:parts])]
+    entries = [node_entry(n, parts, f"127.0.0.1:{port}") for n, port in enumerate(ports[: parts * REPLICAS])]
     body = list_body(entries)
 
     def nothing_new(exchange: Exchange) -> None:
--- a/benchmarks/capacity/totals.py
+++ b/benchmarks/capacity/totals.py
@@ -11,7 +11,7 @@
 from quincepath.fleet.ledger import Heard, Ledger, Living, Own, Packet, Totals
 from quincepath.lab.fleet.ledger_world import CELLS, LedgerWorld
 
-SIZES = (25, 50, 100, 250, 500)
+SIZES = (50, 100, 250, 500, 1000)
 SEED = 41
 BEGIN, LENGTH = 4, 2  # seconds of virtual time before and of the measurement
 HEADERS = 28  # of UDP and IPv4
@@ -85,7 +85,7 @@
         )
         for name, (field, unit) in names.items()
     ]  # fmt: skip
-    memory = tuple(Point(size, (_memory(size),)) for size in (10, 25, 50, 100))
+    memory = tuple(Point(size, (_memory(size),)) for size in (25, 50, 100, 250))
     return (*found, series("memory", "bytes", "brokers", memory, seeds=(SEED,))), (
         fact("replica sets in the reports", "sets", CELLS),
     )
