Commands of people to the fleet stand in a module of their own

The form of a command over HTTP, its checks, and the commands of the log that it becomes move to fleet/orders.py, which is pure.

--- a/quincepath/fleet/service.py
+++ b/quincepath/fleet/service.py
@@ -7,18 +7,17 @@
 from dataclasses import dataclass
 from importlib.metadata import PackageNotFoundError, version
 from pathlib import Path
-from typing import TYPE_CHECKING, Annotated, Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
-from msgspec import Meta
 from prometheus_client import CollectorRegistry, Counter, Gauge
 
 from quincepath.config.schema import Config, FleetEntry
-from quincepath.fleet.adoption import AdoptMap, AwayMap, BackMap, Map, ProposeMap
 from quincepath.fleet.budget import Limit, Limits, Reason, Unit, checks
 from quincepath.fleet.edge import Edge
+from quincepath.fleet.orders import OF_MAPS, OrderError, command_of, read_order
 from quincepath.fleet.pages import explain_page, history_page, view_page
-from quincepath.fleet.permits import DRAIN, Back, Close, Command, Grant, Halt, Permits, Resume
+from quincepath.fleet.permits import Command, Grant, Permits
 from quincepath.fleet.view.core import Drain, Leave, Told, View
 from quincepath.fleet.view.facts import Change, Phase, ViewSettings
 from quincepath.membership.roster import Fact
@@ -35,20 +34,6 @@
 GRAVE = ("dead", "suspect")
 
 JSON = {"Content-Type": "application/json"}
-ORDERS = ("drain", "undrain", "close", "halt", "resume", "propose", "adopt", "back")
-NAMELESS = ("halt", "resume", "propose", "adopt", "back")
-OF_MAPS = ("propose", "adopt", "back")
-
-
-class Order(msgspec.Struct, forbid_unknown_fields=True):
-    """The body of a command. ``id`` is the asker's: the same one again does nothing twice."""
-
-    id: Annotated[str, Meta(min_length=1, max_length=100)]
-    by: Annotated[str, Meta(min_length=1, max_length=100)]
-    names: Annotated[list[str], Meta(max_length=64)] = []
-    why: Annotated[str, Meta(max_length=200)] = ""
-    map: Map | None = None  # of a proposal
-    may_lose: Annotated[list[str], Meta(max_length=1000)] = []
 
 
 @dataclass(slots=True, frozen=True)
@@ -305,14 +290,8 @@
     def _order(self, exchange: Exchange, what: str, body: bytes) -> None:
         """A command of people: ``drain``, ``undrain``, ``close``, ``halt`` or ``resume``, by JSON."""
         try:
-            order = msgspec.json.decode(body, type=Order)
-            if what not in ORDERS:
-                raise ValueError(f"{what!r}: expected one of {', '.join(ORDERS)}")
-            if not order.names and what not in NAMELESS:
-                raise ValueError("names: expected at least one")
-            if (order.map is None) is (what == "propose"):
-                raise ValueError("map: expected with propose, and with nothing else")
-        except (msgspec.MsgspecError, ValueError) as error:
+            order = read_order(what, body)
+        except OrderError as error:
             exchange.respond(400, JSON, json.dumps({"error": str(error)}).encode())
             return
         if self.agreed is None:
@@ -332,28 +311,10 @@
                 status = 409 if any(results.values()) else 200
                 exchange.respond(status, JSON, json.dumps({"results": results}).encode())
 
+        now, overdue = self.loop.system.wall_ms(), self.entry.overdue // 1_000_000
         for name in names:
-            self.agreed.command(self._command(what, order, name), lambda why, n=name: done(n, why))  # type: ignore[misc]
-
-    def _command(self, what: str, order: Order, name: str) -> Command:
-        now, id = self.loop.system.wall_ms(), f"{order.id} {what} {name}"
-        match what:
-            case "drain":
-                return Grant(id, order.by, now, name, DRAIN, now + self.entry.overdue // 1_000_000)
-            case "undrain":
-                return Back(id, order.by, now, name)
-            case "close":
-                return Close(id, order.by, now, name, order.why)
-            case "propose":
-                assert order.map is not None
-                return ProposeMap(id, order.by, now, order.map, tuple(order.may_lose))
-            case "adopt":
-                return AwayMap(id, order.by, now, name) if name else AdoptMap(id, order.by, now)
-            case "back":
-                return BackMap(id, order.by, now)
-            case "halt":
-                return Halt(id, order.by, now, order.why)
-        return Resume(id, order.by, now)
+            command = command_of(what, order, name, now, overdue)
+            self.agreed.command(command, lambda why, n=name: done(n, why))  # type: ignore[misc]
 
     def page(self, path: str) -> Page:
         """The answer to a path under ``/fleet/``."""
