--- a/quincepath/broker/service/core.py
+++ b/quincepath/broker/service/core.py
@@ -31,7 +31,7 @@
     from quincepath.broker.waiting import WaitingRoom
 
 MakeModule = Callable[[Settings, int], Module]
-MAP_BODY = 192 * 1024  # bytes of a command that proposes a shard map
+ORDER_BODY = 192 * 1024  # bytes of a command that proposes a shard map, or a change of the configuration
 METRICS_TIMES = Times(idle=30_000_000_000, request=5_000_000_000, write=5_000_000_000)
 
 
@@ -53,6 +53,13 @@
     return WaitingRoom(Turns(settings, seed))
 
 
+def _order_body(config: Config) -> int:
+    """Most bytes of a command to the metrics' address."""
+    fleet = config.fleet
+    large = fleet is not None and (fleet.topology is not None or fleet.configuration is not None)
+    return ORDER_BODY if large else 1024
+
+
 class Broker:
     """One broker on a loop. ``make_module`` exists for baselines in tests and benchmarks."""
 
@@ -152,7 +159,7 @@
         )  # fmt: skip
         self.metrics_server = HttpServer(
             loop, config.metrics.host, config.metrics.port, self._metrics_request,
-            Limits(body=MAP_BODY if config.fleet and config.fleet.topology else 1024), METRICS_TIMES, 64,
+            Limits(body=_order_body(config)), METRICS_TIMES, 64,
         )  # fmt: skip
         loop.turn_hooks.append(self.turn.run)
         self.holders.read(force=True)
--- a/quincepath/broker/service/fleet.py
+++ b/quincepath/broker/service/fleet.py
@@ -1,5 +1,6 @@
 """The fleet as a guest of the broker, and the store that its keepers are handed; loaded with a fleet only."""
 
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
 
@@ -8,9 +9,11 @@
 from quincepath.broker.driver import Driver
 from quincepath.broker.service.guest import Guest
 from quincepath.broker.service.holders import Holders
-from quincepath.config.schema import Config, FleetEntry
+from quincepath.config.schema import Config, FleetEntry, Holder
 from quincepath.fleet.agreement.entries import Stable
 from quincepath.fleet.agreement.storing import Storage
+from quincepath.fleet.configuration.changes import Edit
+from quincepath.fleet.configuration.resources import NODE, decode_resource, split_name
 from quincepath.fleet.service import Fleet
 from quincepath.net.loop import Loop
 from quincepath.net.server import Exchange
@@ -42,6 +45,8 @@
         self.fleet.out_at = lambda: holders.out_at(driver)
         self.fleet.zone_name = lambda position: holders.source.zone_name(position)
         self.fleet.facts = lambda: list(holders.source.state.facts.values())
+        if self.fleet.distribution is not None:
+            self.fleet.distribution.put_in_force = lambda edits: holders.distribute(named_holders(edits))
 
     def request(self, exchange: Exchange) -> bool:
         return self.fleet.request(exchange)
@@ -51,3 +56,15 @@
 
     def close(self) -> None:
         self.fleet.close()
+
+
+def named_holders(edits: Sequence[Edit]) -> dict[str, Holder | None]:
+    """The holders that edits of the distributed configuration name; None: it is taken out."""
+    found: dict[str, Holder | None] = {}
+    for edit in edits:
+        kind, name = split_name(edit.name)
+        if kind == NODE:
+            holder = None if edit.new is None else decode_resource(edit.name, edit.new)
+            assert holder is None or isinstance(holder, Holder)
+            found[name] = holder
+    return found
--- a/quincepath/broker/service/holders.py
+++ b/quincepath/broker/service/holders.py
@@ -1,10 +1,12 @@
 """The list of holders: read now and then, handed on as news, and what is known of one by its id."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
 from quincepath.broker.driver import Driver
+from quincepath.config.schema import Holder
 from quincepath.interface import Members, NodeId
+from quincepath.membership.roster import Change
 from quincepath.membership.source import ListSource
 from quincepath.net.loop import Loop
 from quincepath.observe.metrics import Metrics
@@ -41,11 +43,18 @@
         if error:
             self.metrics.list_errors.inc()
             self.log.error("list unreadable, the one before stays in force", cause=error)
+        self._tell(news, changes)
+
+    def _tell(self, news: Members | None, changes: Sequence[Change]) -> None:
         for change in changes:
             self.log.info("holder changed", node=change.name, change=change.what)
         if news is not None:
             self.told(news)
 
+    def distribute(self, changed: Mapping[str, Holder | None]) -> None:
+        """Holders as the fleet distributes them, by name; None: no longer one."""
+        self._tell(*self.source.distribute(changed))
+
     def poll(self) -> None:
         """Look now, and again and again."""
         self.loop.call_in(self.every, self.poll)
--- a/quincepath/config/schema/__init__.py
+++ b/quincepath/config/schema/__init__.py
@@ -16,12 +16,12 @@
     book_limits,
 )
 from quincepath.config.schema.classes import ClassEntry, ClassRule
+from quincepath.config.schema.distribution import DistributionEntry, RelayEntry
 from quincepath.config.schema.fleet import (
     FleetEntry,
     FleetLimits,
     KindLimits,
     LimitEntry,
-    MemberName,
     PeerEntry,
 )
 from quincepath.config.schema.holders import (
@@ -33,6 +33,7 @@
     check_holders,
 )
 from quincepath.config.schema.listeners import Listen, MetricsListen
+from quincepath.config.schema.members import MemberName
 from quincepath.config.schema.module import module_kind, module_settings
 from quincepath.config.schema.sharing import FairEntry, LedgerEntry, OverloadEntry, TenantEntry
 from quincepath.config.schema.whole import Config, plain, zones
@@ -46,6 +47,7 @@
     "ClassRule",
     "Config",
     "Count",
+    "DistributionEntry",
     "FairEntry",
     "FleetEntry",
     "FleetLimits",
@@ -64,6 +66,7 @@
     "Pattern",
     "PeerEntry",
     "Port",
+    "RelayEntry",
     "Roster",
     "RulesEntry",
     "ShardEntry",
--- a/quincepath/config/schema/fleet.py
+++ b/quincepath/config/schema/fleet.py
@@ -6,6 +6,8 @@
 from pydantic import AfterValidator, Field, model_validator
 
 from quincepath.config.schema.base import MS, SECOND, Model, Name, Port
+from quincepath.config.schema.distribution import DistributionEntry
+from quincepath.config.schema.members import MemberName
 from quincepath.config.schema.sharing import LedgerEntry, OverloadEntry
 from quincepath.config.schema.topology import TopologyEntry
 from quincepath.config.values import Duration, Share
@@ -23,9 +25,6 @@
     return value
 
 
-MemberName = Annotated[str, Field(min_length=1, max_length=32, pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$")]
-
-
 class PeerEntry(Model):
     """Another broker: its name in the fleet, and where it hears datagrams and takes connections."""
 
@@ -84,6 +83,7 @@
     ledger: LedgerEntry | None = None  # absent: brokers tell each other nothing of their load
     overload: OverloadEntry | None = None  # absent: each broker alone
     topology: TopologyEntry | None = None  # absent: the configured shard map stays
+    configuration: DistributionEntry | None = None  # absent: the files alone say what is in force
 
     @model_validator(mode="after")
     def _sound(self) -> "FleetEntry":
@@ -105,6 +105,8 @@
             raise ValueError("overload: expected ledger beside it: its figures come from there")
         if self.topology is not None and not self.keepers:
             raise ValueError("topology: expected keepers beside it: a shard map is adopted through their log")
+        if self.configuration is not None:
+            self._sound_relays(self.configuration, {*names, self.member})
         if not 10 * MS <= self.ack_time <= self.period // 2:
             raise ValueError("expected 10ms <= ack_time <= half of period")
         if self.floor < 2 * self.period:
@@ -123,3 +125,12 @@
             raise ValueError(f"keepers: {unknown[0]!r} is neither this member nor one of the peers")
         if (self.member in self.keepers) != (self.store is not None):
             raise ValueError("expected store with a member that is one of the keepers, and with no other")
+
+    def _sound_relays(self, entry: DistributionEntry, known: set[str]) -> None:
+        if not self.keepers:
+            raise ValueError("configuration: expected keepers beside it: changes are committed in their log")
+        unknown = sorted({relay.name for relay in entry.relays} - known)
+        if unknown:
+            raise ValueError(
+                f"configuration.relays: {unknown[0]!r} is neither this member nor one of the peers"
+            )
--- a/quincepath/fleet/agreed.py
+++ b/quincepath/fleet/agreed.py
@@ -26,6 +26,7 @@
     Send,
     Times,
 )  # fmt: skip
+from quincepath.fleet.agreement.core.ports import NEVER
 from quincepath.fleet.agreement.entries import Stable, first
 from quincepath.fleet.agreement.messages import Answer, Followed, Message, Request, Whole
 from quincepath.fleet.agreement.post import Body, Report, Sampled, pack, unpack
@@ -73,8 +74,18 @@
     maps: Callable[[Permits], "Maps | None"] = field(default=lambda machine: None)  # with a topology: only
 
 
+def _refuses_none(command: ChangeConfiguration) -> str:
+    return ""
+
+
 class Agreed:
-    """One broker's part in the log."""
+    """One broker's part in the log.
+
+    ``refuses_change``: why this member as leader does not propose a change of the configuration that the
+    state machine would take; empty where it does.
+    """
+
+    refuses_change: Callable[[ChangeConfiguration], str] = staticmethod(_refuses_none)
 
     def __init__(self, loop: Loop, entry: FleetEntry, base: Path, seed: int, hooks: Hooks, log: Any) -> None:
         self.loop, self.entry, self.hooks, self.log = loop, entry, hooks, log
@@ -92,6 +103,7 @@
         self._asked = 0
         self._shown = -1
         self._heard_at = loop.clock()
+        self._confirmed_at = -NEVER  # when a keeper that knew a leader had no newer entry, by its word
         if entry.member in entry.keepers:
             self._open(base, seed)
         loop.call_in(ASK_EVERY, self._tick)
@@ -188,8 +200,11 @@
                 self._answered(body)
             case Followed() | Whole():
                 self._heard_at = self.loop.clock()
-                if self.keeper is None and self.follower.hear(self.loop.clock(), body):
-                    self._after()
+                if self.keeper is None:
+                    applied = self.follower.hear(self.loop.clock(), body)
+                    self._confirm(body)
+                    if applied:
+                        self._after()
             case Request(id, data_):
                 if self.leads:
                     data_, why = self._judged(data_)
@@ -201,6 +216,17 @@
             case _:
                 self._step([Came(post.sender, post.epoch, body)])
 
+    def _confirm(self, told: Followed | Whole) -> None:
+        if isinstance(told, Followed) and told.leader and self.follower.applied >= told.commit:
+            self._confirmed_at = self.loop.clock()
+
+    def age(self) -> int:
+        """ns since the newest entry here was known to be the newest: by the leader, or by who heard it."""
+        if self.leads:
+            return 0
+        heard = self._confirmed_at if self.keeper is None else self.keeper.heard_leader
+        return self.loop.clock() - heard
+
     def _post(self, to: str, body: Body) -> None:
         epoch = 0 if self.store is None else self.store.stable.epoch
         self.hooks.post(to, pack(self.entry.name, self.entry.member, to, epoch, body))
@@ -318,7 +344,7 @@
             filled, why = self.maps.judge(command, self.loop.clock(), self.loop.system.wall_ms())
             return encode(filled), f"{FINAL}{why}"[:200] if why else ""
         if isinstance(command, ChangeConfiguration):
-            why = refusal_before(self.machine.configuration, command)
+            why = refusal_before(self.machine.configuration, command) or self.refuses_change(command)
             return data, f"{FINAL}{why}"[:200] if why else ""
         command, why = self.hooks.judge(command)
         return encode(command), f"{FINAL}{why}"[:200] if why else ""
--- a/quincepath/fleet/configuration/history.py
+++ b/quincepath/fleet/configuration/history.py
@@ -93,6 +93,11 @@
         self.log.add(delta)
         return self._answer(change, Answer(delta.revision, "", digest))
 
+    def resolved(self, change: Change) -> Sequence[Edit]:
+        """The edits that a change would make now, those of a rollback worked out; none for a fault."""
+        edits, faults = self._edits(change)
+        return () if faults else edits
+
     def known(self, change: Change) -> Answer | None:
         """The answer to a change whose id was used before; None: it was not."""
         known = self.answers.get(change.id)
--- a/quincepath/fleet/configuration/messages.py
+++ b/quincepath/fleet/configuration/messages.py
@@ -8,6 +8,7 @@
 travels: times are ages in ms.
 """
 
+from enum import StrEnum
 from typing import Annotated
 
 import msgspec
@@ -196,11 +197,45 @@
     return MARK + _encoder.encode(Envelope(SCHEMA, SCHEMA, fleet, sender, to, boot, raw))
 
 
-def unpack(data: bytes, fleet: str, to: str) -> tuple[Envelope, Body]:
-    """A message to this member. Raises ``Rejected``, with the causes of ``fleet/messages.py``."""
+def open_envelope(data: bytes, fleet: str, to: str, own: bool = False) -> Envelope:
+    """Of a message to this member, its body unread. ``own``: from itself, which no connection may bring.
+
+    Raises ``Rejected``, with the causes of ``fleet/messages.py``.
+    """
     if data[: len(MARK)] != MARK:
         raise Rejected("unreadable")
     found = opened(data[len(MARK) :], _envelopes, VERSIONS, fleet, to, FRAME_MOST)
-    if found.sender == to:
+    if (found.sender == to) is not own:
         raise Rejected("wrong name")
+    return found
+
+
+def unpack(data: bytes, fleet: str, to: str, own: bool = False) -> tuple[Envelope, Body]:
+    """A message to this member, whole. Raises ``Rejected``, as ``open_envelope``."""
+    found = open_envelope(data, fleet, to, own)
     return found, body_in(found.body, _bodies)
+
+
+class Addressee(StrEnum):
+    """Which part of a member a message is for."""
+
+    RELAY = "relay"
+    SUBSCRIBER = "subscriber"
+    VOTER = "voter"
+
+
+def addressee(body: msgspec.Raw) -> Addressee:
+    """For whom a body is, by its tag alone. Raises ``Rejected`` for one that is no body's beginning."""
+    head = bytes(memoryview(body)[: TAG_AT + 1])
+    found = _ADDRESSEES.get(head[TAG_AT]) if len(head) > TAG_AT else None
+    if found is None:
+        raise Rejected("unknown kind")
+    return found
+
+
+TAG_AT = 1  # byte of a body's tag: an array of under sixteen fields has one byte before it
+_ADDRESSEES = {
+    **dict.fromkeys(range(1, 6), Addressee.RELAY),
+    **dict.fromkeys(range(11, 16), Addressee.SUBSCRIBER),
+    21: Addressee.VOTER,
+}
--- a/quincepath/fleet/configuration/ports.py
+++ b/quincepath/fleet/configuration/ports.py
@@ -12,10 +12,14 @@
 
 @dataclass(slots=True, frozen=True)
 class Received:
-    """A message of another member; ``sender`` is whose connection it came by."""
+    """A message of a member; ``sender`` is whose connection it came by. ``own``: of this member itself.
+
+    A relay and a subscriber of one member have no connection between them.
+    """
 
     sender: str
     data: bytes
+    own: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/quincepath/fleet/configuration/relay.py
+++ b/quincepath/fleet/configuration/relay.py
@@ -160,7 +160,7 @@
 
     def _receive(self, message: Received) -> None:
         try:
-            envelope, body = unpack(message.data, self.me.fleet, self.me.name)
+            envelope, body = unpack(message.data, self.me.fleet, self.me.name, message.own)
             if envelope.sender != message.sender:
                 raise Rejected("wrong name")
         except Rejected as error:
--- a/quincepath/fleet/configuration/resources.py
+++ b/quincepath/fleet/configuration/resources.py
@@ -20,7 +20,7 @@
 )
 
 KINDS: Mapping[str, type[Model]] = {"class": ClassEntry, "node": Holder, "tenant": TenantEntry}
-NODE, CLASS = "node", "class"
+NODE, CLASS, TENANT = "node", "class", "tenant"
 
 SHOWN_VALUE_MOST = 160  # characters
 
--- a/quincepath/fleet/configuration/subscriber.py
+++ b/quincepath/fleet/configuration/subscriber.py
@@ -138,7 +138,7 @@
 
     def _receive(self, message: Received) -> None:
         try:
-            envelope, body = unpack(message.data, self.me.fleet, self.me.name)
+            envelope, body = unpack(message.data, self.me.fleet, self.me.name, message.own)
             if envelope.sender != message.sender or envelope.sender not in self.chooser.order:
                 raise Rejected("unknown member")
         except Rejected as error:
--- /dev/null
+++ b/quincepath/fleet/distribution.py
@@ -0,0 +1,353 @@
+"""The configuration's distribution on one member: its subscriber, its relay and its sums, on the one loop.
+
+Moves messages, time and the news of the log to the pure parts (``fleet/configuration``) and carries out what
+they say. A member that relays serves itself, too; such messages take a turn of the loop and no connection.
+"""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import unquote
+
+import msgspec
+from prometheus_client import CollectorRegistry, Counter, Gauge
+
+from quincepath.config.schema import Config, DistributionEntry, FleetEntry
+from quincepath.fleet.agreed import Agreed
+from quincepath.fleet.configuration.admissible import Admissible
+from quincepath.fleet.configuration.changes import ChangeError, Edit, decode_change
+from quincepath.fleet.configuration.choice import MS, RelayPlace
+from quincepath.fleet.configuration.commands import ChangeConfiguration, news_for_relay
+from quincepath.fleet.configuration.history import History, summed_up
+from quincepath.fleet.configuration.messages import (
+    MARK,
+    Addressee,
+    Summary,
+    addressee,
+    encode_body,
+    open_envelope,
+    pack,
+    unpack,
+)
+from quincepath.fleet.configuration.ports import (
+    Apply,
+    Close,
+    Event,
+    EventKind,
+    Lost,
+    Received,
+    RelayInput,
+    Report,
+    Resume,
+    Send,
+    SubscriberInput,
+)
+from quincepath.fleet.configuration.relay import Relay, RelayMembership
+from quincepath.fleet.configuration.status import FleetStatus, StatusSums
+from quincepath.fleet.configuration.subscriber import Membership, Subscriber
+from quincepath.fleet.configuration.table import Rules
+from quincepath.fleet.edge import Edge
+from quincepath.fleet.messages import Rejected
+from quincepath.net.loop import Loop, Timer
+
+FEED_EVERY = 500 * MS  # between words of the log to the relay while nothing is new
+STEP_LEAST = MS  # between steps by the clock
+LOOK_EVERY = 1000 * MS  # between looks at the figures
+SHOWN_EDITS = 5  # names of a revision in its log line
+WARNINGS = frozenset({EventKind.RELAY_LEFT, EventKind.SUBSCRIBER_GONE, EventKind.TABLE_FULL})
+ERRORS = frozenset({EventKind.REVISION_REFUSED, EventKind.SNAPSHOT_FAILED})
+
+
+@dataclass(slots=True, frozen=True)
+class Ports:
+    """What the member does for it. ``age``: ns since the newest entry here was known to be the newest."""
+
+    tell: Callable[[str, bytes], None]
+    history: Callable[[], History]
+    age: Callable[[], int]
+    keepers: Callable[[], Sequence[str]]
+    expected: Callable[[], int]  # brokers that should be subscribed
+    dropped: Callable[[str], None]
+
+
+class Distribution:
+    """``put_in_force`` gets the edits of each revision, in one turn; they were checked before."""
+
+    def __init__(
+        self,
+        entry: FleetEntry,
+        section: DistributionEntry,
+        admissible: Admissible,
+        loop: Loop,
+        boot: int,
+        seed: int,
+        ports: Ports,
+        log: Any,
+        registry: CollectorRegistry,
+    ) -> None:
+        self.loop, self.entry, self.ports, self.log = loop, entry, ports, log
+        self.admissible, self.boot = admissible, boot
+        self.put_in_force: Callable[[Sequence[Edit]], None] = lambda edits: None
+        self._members = {peer.name for peer in entry.peers} | {entry.member}
+        self._relay_names = {relay.name for relay in section.relays}
+        relays = [RelayPlace(relay.name, relay.region) for relay in section.relays]
+        me = Membership(entry.name, entry.member, section.region, boot)
+        now = loop.clock()
+        self.subscriber = Subscriber(me, relays, seed, now, admissible.rules, admissible.faults)
+        relayed = entry.member in self._relay_names
+        self.relay = Relay(RelayMembership(entry.name, entry.member, boot), now) if relayed else None
+        self.sums = StatusSums()
+        self._timer: Timer | None = None
+        self._closed = False
+        self._figures = _Figures(registry)
+        self._look()
+        self._feed_again()
+        self._arm()
+
+    # --- messages ---
+
+    def receive(self, data: bytes, own: bool = False) -> None:
+        """A message of another member; ``own``: of this one."""
+        me = self.entry
+        try:
+            envelope = open_envelope(data, me.name, me.member, own)
+            if envelope.sender not in self._members:
+                raise Rejected("unknown member")
+            match addressee(envelope.body):
+                case Addressee.SUBSCRIBER:
+                    self._step_subscriber([Received(envelope.sender, data, own)])
+                case Addressee.RELAY if self.relay is not None:
+                    self._step_relay([Received(envelope.sender, data, own)])
+                case Addressee.VOTER:
+                    self._hear(data, own)
+                case _:
+                    raise Rejected("unknown kind")
+        except Rejected as error:
+            self.ports.dropped(error.cause)
+
+    def _hear(self, data: bytes, own: bool) -> None:
+        """A relay's summary."""
+        envelope, body = unpack(data, self.entry.name, self.entry.member, own)
+        if not isinstance(body, Summary) or envelope.sender not in self._relay_names:
+            raise Rejected("unknown kind")
+        self.sums.hear(envelope.sender, body, self.loop.clock())
+
+    def lost(self, name: str) -> None:
+        """The connection to a member ended, or could not be had."""
+        self._step_subscriber([Lost(name)])
+        self._step_relay([Lost(name)])
+
+    def _send(self, to: str, data: bytes) -> None:
+        if to == self.entry.member:
+            self.loop.call_in(0, lambda: self.receive(data, own=True))
+        else:
+            self.ports.tell(to, data)
+
+    # --- steps ---
+
+    def _step_subscriber(self, inputs: Sequence[SubscriberInput]) -> None:
+        if self._closed:
+            return
+        for out in self.subscriber.step(self.loop.clock(), inputs):
+            match out:
+                case Send(to, data):
+                    self._send(to, data)
+                case Apply(revision, edits):
+                    self._apply(revision, edits)
+                case Event():
+                    self._tell(out)
+        self._arm()
+
+    def _apply(self, revision: int, edits: Sequence[Edit]) -> None:
+        self.put_in_force(edits)
+        names = ", ".join(edit.name for edit in edits[:SHOWN_EDITS])
+        more = f" and {len(edits) - SHOWN_EDITS} more" if len(edits) > SHOWN_EDITS else ""
+        self.log.info("configuration: in force", revision=revision, changed=names + more)
+
+    def _step_relay(self, inputs: Sequence[RelayInput]) -> None:
+        if self._closed or self.relay is None:
+            return
+        for out in self.relay.step(self.loop.clock(), inputs):
+            match out:
+                case Send(to, data):
+                    self._send(to, data)
+                case Report(summary):
+                    self._report(summary)
+                case Resume():
+                    self.loop.call_in(0, self.feed)
+                case Event():
+                    self._tell(out)
+        self._arm()
+
+    def _report(self, summary: Summary) -> None:
+        raw, me = encode_body(summary), self.entry
+        for keeper in self.ports.keepers():
+            self._send(keeper, pack(me.name, me.member, self.boot, keeper, raw))
+
+    def _tell(self, event: Event) -> None:
+        say = self.log.info
+        if event.kind in WARNINGS:
+            say = self.log.warning
+        elif event.kind in ERRORS:
+            say = self.log.error
+        say(f"configuration: {event.kind}", cause=event.text)
+        self._figures.events.labels(event.kind).inc()
+
+    def _arm(self) -> None:
+        """One timer for both."""
+        due = self.subscriber.due if self.relay is None else min(self.subscriber.due, self.relay.due)
+        due = max(due, self.loop.clock() + STEP_LEAST)
+        if self._timer is None or self._timer.call is None or self._timer.at != due:
+            if self._timer is not None:
+                self._timer.cancel()
+            self._timer = self.loop.call_at(due, self._due)
+
+    def _due(self) -> None:
+        self._step_subscriber([])
+        self._step_relay([])
+
+    # --- the log ---
+
+    def feed(self) -> None:
+        """Tell the relay what this member knows of the log."""
+        if self.relay is not None:
+            news = news_for_relay(self.ports.history(), self.relay.log.newest, self.ports.age())
+            self._step_relay([news])
+
+    def _feed_again(self) -> None:
+        if not self._closed:
+            self.loop.call_in(FEED_EVERY, self._feed_again)
+            self.feed()
+
+    def refusal(self, command: ChangeConfiguration) -> str:
+        """Why this member as leader does not propose a change; empty where it does."""
+        history = self.ports.history()
+        try:
+            change = decode_change(command.change)
+        except ChangeError as error:
+            return str(error)
+        if history.known(change) is not None:
+            return ""  # a repeat: its answer stands
+        edits = history.resolved(change)
+        found = history.table.faults(edits, self.admissible.rules) or self.admissible.faults(edits)
+        return summed_up(found or self.admissible.uncovered(history.table.values, edits))
+
+    # --- for people ---
+
+    def fleet_status(self) -> FleetStatus:
+        """The sums of all relays' summaries; of use on a keeper only."""
+        now = self.loop.clock()
+        newest = max([self.ports.history().revision, *(one.newest for _, one in self.sums.heard.values())])
+        return self.sums.status(newest, self.ports.expected(), now)
+
+    def status_page(self) -> dict[str, Any]:
+        """``fleet``: of all brokers, on a keeper; null elsewhere. ``own``: of this broker."""
+        own = msgspec.to_builtins(self.subscriber.status(self.loop.clock()))
+        page: dict[str, Any] = {
+            "member": self.entry.member,
+            "own": own,
+            "keepers": list(self.ports.keepers()),
+            "fleet": None,
+            "everywhere": None,
+            "lines": [],
+        }
+        if self.entry.member in page["keepers"]:
+            status = self.fleet_status()
+            page |= {
+                "fleet": {
+                    **msgspec.to_builtins(status),
+                    "counts": [msgspec.structs.asdict(one) for one in status.counts],
+                    "laggards": [msgspec.structs.asdict(one) for one in status.laggards],
+                    "refusals": [msgspec.structs.asdict(one) for one in status.refusals],
+                },
+                "everywhere": status.everywhere,
+                "lines": status.lines(),
+            }
+        return page
+
+    def show_page(self, name: str = "") -> dict[str, Any] | None:
+        """Committed resources as this member knows them; one where it is named, None where it is absent."""
+        history = self.ports.history()
+        values = history.table.values
+        name = unquote(name)
+        if name and name not in values:
+            return None
+        names = [name] if name else sorted(values)
+        resources = {one: msgspec.msgpack.decode(values[one]) for one in names}
+        return {"revision": history.revision, "resources": resources}
+
+    def _look(self) -> None:
+        if self._closed:
+            return
+        self.loop.call_in(LOOK_EVERY, self._look)
+        status = self.subscriber.status(self.loop.clock())
+        figures = self._figures
+        figures.revision.set(status.revision)
+        figures.age.set(status.age_ms / 1000 if status.age_ms >= 0 else -1)
+        figures.refused.set(status.refused is not None)
+        if self.relay is not None:
+            figures.subscribers.set(len(self.relay.records))
+
+    def close(self) -> None:
+        """Subscribers are told to choose another relay."""
+        self._step_relay([Close()])
+        self._closed = True
+        if self._timer is not None:
+            self._timer.cancel()
+
+
+class _Figures:
+    """The metrics."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        def gauge(name: str, about: str) -> Gauge:
+            return Gauge(f"quincepath_configuration_{name}", about, registry=registry)
+
+        self.revision = gauge("revision", "Revision of the distributed configuration in force here")
+        self.age = gauge("age_seconds", "Since a keeper confirmed the relay's newest revision; -1: no relay")
+        self.refused = gauge("refused", "1 while this broker refuses a revision (NACK)")
+        self.subscribers = gauge("subscribers", "Brokers that this member's relay serves")
+        self.events = Counter(
+            "quincepath_configuration_events", "Events of subscriber and relay, by kind", ["kind"],
+            registry=registry,
+        )  # fmt: skip
+
+
+def distribution_of(
+    config: Config,
+    entry: FleetEntry,
+    section: DistributionEntry,
+    agreed: Agreed,
+    edge: Edge,
+    boot: int,
+    seed: int,
+    expected: Callable[[], int],
+    dropped: Callable[[str], None],
+    log: Any,
+    registry: CollectorRegistry,
+) -> Distribution:
+    """Put together from a member's parts."""
+    rules = Rules(frozenset(frozenset(names) for names in config.shards.sets().values()))
+    members = frozenset({entry.member, *(peer.name for peer in entry.peers)})
+    ports = Ports(
+        tell=edge.tell,
+        history=lambda: agreed.machine.configuration,
+        age=agreed.age,
+        keepers=lambda: agreed.keepers,
+        expected=expected,
+        dropped=dropped,
+    )
+    admissible = Admissible(rules, members)
+    return Distribution(entry, section, admissible, agreed.loop, boot, seed, ports, log, registry)
+
+
+def routed(log: Callable[[bytes], None], distribution: Callable[[bytes], None]) -> Callable[[bytes], None]:
+    """One connection carries both: messages of the distribution begin with their mark."""
+
+    def receive(data: bytes) -> None:
+        if data.startswith(MARK):
+            distribution(data)
+        else:
+            log(data)
+
+    return receive
--- a/quincepath/fleet/edge.py
+++ b/quincepath/fleet/edge.py
@@ -85,6 +85,7 @@
         self._lines: dict[int, _Line] = {}
         self._ways: dict[str, _Way] = {}
         self.on_agreed: Callable[[bytes], None] | None = None
+        self.on_way_lost: Callable[[str], None] | None = None  # to a member: it ended, or could not be had
         self.on_other: Callable[[bytes], None] | None = None
         self._taken = 0
         self._timer: Timer | None = None
@@ -329,12 +330,23 @@
             way.dial = None
             way.waiting.clear()
             way.not_before = self.loop.now + REDIAL
+            self._way_lost(to)
 
         def lost(_: str) -> None:
             way.stream = None
+            self._way_lost(to)
 
         way.dial = Dial(self.loop, self.places[to], self.view.settings.exchange_time, opened, failed)
 
+    def _way_lost(self, to: str) -> None:
+        """Tell it in a turn of its own: the connection may have ended within a call of ``tell``."""
+
+        def told() -> None:
+            if self.on_way_lost is not None and not self._closed:
+                self.on_way_lost(to)
+
+        self.loop.call_in(0, told)
+
     def close(self) -> None:
         """Give back all sockets; the second time nothing happens."""
         if self._closed:
--- a/quincepath/fleet/service.py
+++ b/quincepath/fleet/service.py
@@ -12,7 +12,7 @@
 import msgspec
 from prometheus_client import CollectorRegistry, Counter, Gauge
 
-from quincepath.config.schema import Config, FleetEntry
+from quincepath.config.schema import Config, DistributionEntry, FleetEntry
 from quincepath.fleet.budget import Limit, Limits, Reason, Unit, checks
 from quincepath.fleet.edge import Edge
 from quincepath.fleet.orders import OF_MAPS, OrderError, command_of, read_order
@@ -26,6 +26,9 @@
 
 if TYPE_CHECKING:
     from quincepath.fleet.agreed import Agreed, OpenStore
+    from quincepath.fleet.configuration.commands import ChangeConfiguration
+    from quincepath.fleet.configuration_requests import ConfigurationRequests
+    from quincepath.fleet.distribution import Distribution
     from quincepath.fleet.shared import Shared
     from quincepath.fleet.topology import Maps
 
@@ -129,6 +132,8 @@
         self._shown: tuple[Counts[str], Counts[str]] = (Counts(), Counts())  # what the metrics have by now
         self.edge = make_edge(loop, self.view, places, entry.host, entry.port, self._told)
         self.agreed: Agreed | None = None
+        self.distribution: Distribution | None = None
+        self.requests: ConfigurationRequests | None = None
         if entry.keepers:
             from quincepath.fleet import agreed  # only where there is a log
 
@@ -142,7 +147,10 @@
                 self._maps(config, boot),
             )
             self.agreed = agreed.Agreed(loop, entry, base, seed, hooks, self.log)
+            self.agreed.refuses_change = self._refuses_change
             self.edge.on_agreed = self.agreed.receive
+            if entry.configuration is not None:
+                self._distribute(config, entry.configuration, boot, seed, registry)
         self.shared: Shared | None = None
         if entry.ledger is not None:
             from quincepath.fleet import shared  # only where brokers tell each other of their load
@@ -215,12 +223,41 @@
             self.entry.member, boot, first, entry, machine, ports, self.log, wall=self.loop.system.wall_ns
         )
 
+    def _distribute(
+        self, config: Config, section: DistributionEntry, boot: int, seed: int, registry: CollectorRegistry
+    ) -> None:
+        """Take part in the distribution of the configuration."""
+        # Only where the configuration is distributed.
+        from quincepath.fleet.configuration_requests import ConfigurationRequests
+        from quincepath.fleet.distribution import distribution_of, routed
+
+        assert self.agreed is not None
+        self.distribution = distribution_of(
+            config, self.entry, section, self.agreed, self.edge, boot, seed, self._expected, self._drop,
+            self.log, registry,
+        )  # fmt: skip
+        self.requests = ConfigurationRequests(self.distribution, self.agreed)
+        self.edge.on_agreed = routed(self.agreed.receive, self.distribution.receive)
+        self.edge.on_way_lost = self.distribution.lost
+
+    def _expected(self) -> int:
+        """Brokers that should have the newest configuration: all members but those that left."""
+        left = {belief.name for belief in self.view.table.all() if belief.phase is Phase.LEFT}
+        return len(self.brokers - left)
+
+    def _refuses_change(self, command: "ChangeConfiguration") -> str:
+        if self.distribution is None:
+            return "the leader's fleet: section has no configuration:"
+        return self.distribution.refusal(command)
+
     def _drop(self, cause: str) -> None:
         self.view.dropped[cause] += 1
 
     def _applied(self) -> None:
         """Something was agreed; drains are laid over the list at once."""
         assert self.agreed is not None
+        if self.distribution is not None:
+            self.distribution.feed()
         names = frozenset(self.agreed.machine.drained())
         if names != self._drained:
             for name in sorted(names ^ self._drained):
@@ -280,6 +317,8 @@
         asked = exchange.request
         if not asked.path.startswith("/fleet/"):
             return False
+        if self.requests is not None and self.requests.request(exchange):
+            return True
         if asked.method == "POST":
             self._order(exchange, asked.path.removeprefix("/fleet/"), asked.body)
             return True
@@ -353,6 +392,8 @@
         """Say goodbye and give back the sockets."""
         if not self._closed:
             self._closed = True
+            if self.distribution is not None:
+                self.distribution.close()
             if self.agreed is not None:
                 self.agreed.close()
             self.edge.step([Leave()])
--- a/quincepath/membership/roster.py
+++ b/quincepath/membership/roster.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from quincepath.interface import Entry, Members, NodeId, Phase, Scope
 
@@ -52,26 +52,9 @@
         """A whole list was read: news for the module, None where nothing changed, and what changed."""
         changes: list[Change] = []
         entries: list[Entry] = []
-        named = {fact.node: fact for fact in facts}
-        for fact in facts:
-            before = self.facts.get(fact.node)
-            if before is not None and fact.since and abs(fact.since - before.since) < SAME_START:
-                # The start is told in wall time: the same one must not look new after a small clock step.
-                fact = Fact(
-                    fact.name,
-                    fact.node,
-                    fact.path,
-                    fact.zone,
-                    fact.cell,
-                    fact.shards,
-                    fact.phase,
-                    before.since,
-                )
-                named[fact.node] = fact
-            if fact == before:
-                continue
-            changes.append(Change(fact.name, self._what(before, fact)))
-            entries.append(self._entry(fact, fact.phase))
+        named = {fact.node: self._same_start(fact) for fact in facts}
+        for fact in named.values():
+            self._differ(fact, changes, entries)
         for node, fact in self.facts.items():
             if node not in named and fact.phase is not Phase.GONE:
                 changes.append(Change(fact.name, "gone from the list"))
@@ -79,10 +62,47 @@
         self.facts = named
         if not entries and self._told_once:
             return None, changes
+        return self._news(entries), changes
+
+    def take_delta(
+        self, facts: Sequence[Fact], gone: Sequence[NodeId]
+    ) -> tuple[Members | None, list[Change]]:
+        """Part of the list changed; costs by that part. ``gone``: holders that it no longer names.
+
+        Only after a whole list. A holder at the address of one that is gone takes its place.
+        """
+        assert self._told_once, "a part of the list before a whole one"
+        changes: list[Change] = []
+        entries: list[Entry] = []
+        arriving = {fact.node for fact in facts}
+        for node in gone:
+            left = None if node in arriving else self.facts.pop(node, None)
+            if left is not None and left.phase is not Phase.GONE:
+                changes.append(Change(left.name, "gone from the list"))
+                entries.append(self._entry(left, Phase.GONE))
+        for fact in map(self._same_start, facts):
+            self._differ(fact, changes, entries)
+            self.facts[fact.node] = fact
+        return (self._news(entries) if entries else None), changes
+
+    def _same_start(self, fact: Fact) -> Fact:
+        """The start is told in wall time: the same one must not look new after a small clock step."""
+        before = self.facts.get(fact.node)
+        if before is None or not fact.since or abs(fact.since - before.since) >= SAME_START:
+            return fact
+        return replace(fact, since=before.since)
+
+    def _differ(self, fact: Fact, changes: list[Change], entries: list[Entry]) -> None:
+        before = self.facts.get(fact.node)
+        if fact != before:
+            changes.append(Change(fact.name, self._what(before, fact)))
+            entries.append(self._entry(fact, fact.phase))
+
+    def _news(self, entries: list[Entry]) -> Members:
         self.version += 1
         scope = Scope.DELTA if self._told_once else Scope.CACHED
         self._told_once = True
-        return Members(scope, self.version, tuple(entries)), changes
+        return Members(scope, self.version, tuple(entries))
 
     def failed(self) -> Members:
         """The source could not be read: what was told before stays in force."""
--- a/quincepath/membership/source.py
+++ b/quincepath/membership/source.py
@@ -6,7 +6,7 @@
 """
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from pathlib import Path
 from urllib.parse import urlsplit
 
@@ -44,12 +44,16 @@
         self._seen: tuple[int, int, int] | None = None
         self._zones = zones(config, [])
         self.errors = 0
+        # By name, as the fleet distributes them; None: it distributes none, and the file says who there is.
+        self.distributed: dict[str, Holder] | None = None
         self.drained: frozenset[str] = (
             frozenset()
         )  # names that the fleet agreed to drain, whatever the list says
 
     def poll(self, force: bool = False) -> tuple[Members | None, list[Change], str]:
         """News, what changed, and an error text where the file could not be taken."""
+        if self.distributed is not None:
+            return (*self._take_distributed(), "") if force else (None, [], "")
         if self.path is None:
             if self.state.version and not force:
                 return None, [], ""
@@ -75,6 +79,33 @@
         news, changes = self.state.take([self._fact(holder) for holder in roster.holders])
         return news, changes, ""
 
+    def distribute(self, changed: Mapping[str, Holder | None]) -> tuple[Members | None, list[Change]]:
+        """Holders that the fleet distributes, by name; None: no longer one. Costs by their number.
+
+        From the first holder on they alone are in force, and the file is read no more. The holders were
+        checked: their shards are a whole replica set, no two share a name or an address.
+        """
+        arriving = [holder for holder in changed.values() if holder is not None]
+        if self.distributed is None and not arriving:
+            return None, []
+        for holder in arriving:
+            self._zones.setdefault(holder.zone, len(self._zones))
+        if self.distributed is None:
+            self.distributed = {holder.name: holder for holder in arriving}
+            return self._take_distributed()
+        gone = []
+        for name, wanted in changed.items():
+            before = self.distributed.pop(name, None)
+            if before is not None:
+                gone.append(node_id(before.url))
+            if wanted is not None:
+                self.distributed[name] = wanted
+        return self.state.take_delta([self._fact(holder) for holder in arriving], gone)
+
+    def _take_distributed(self) -> tuple[Members | None, list[Change]]:
+        assert self.distributed is not None
+        return self.state.take([self._fact(holder) for holder in self.distributed.values()])
+
     def zone_name(self, position: int) -> str:
         """The name of a zone that facts give by its position."""
         return next((name for name, at in self._zones.items() if at == position), "")
--- /dev/null
+++ b/tests/fleet/distribution/inside.py
@@ -0,0 +1,217 @@
+"""Whole brokers on one virtual loop and an in-memory network: three keepers, two relays, and others."""
+
+import json
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any, cast
+from urllib.parse import quote
+
+import msgspec
+
+from quincepath.broker.service import Broker
+from quincepath.config.schema import Config
+from quincepath.fleet.agreed import Agreed
+from quincepath.fleet.configuration.messages import MARK
+from quincepath.fleet.configuration.subscriber import Subscriber
+from quincepath.fleet.distribution import Distribution
+from quincepath.fleet.service import Fleet
+from quincepath.lab.demo import demo_config
+from quincepath.lab.virtual_loop import ExactLoop
+from quincepath.net.http1 import Request
+from quincepath.net.server import Exchange
+
+SHARDS = {"a": ["s0", "s1"], "b": ["s2", "s3"], "c": ["s4", "s5"]}
+REGIONS = ("east", "west")
+KEEPERS = ["m0", "m1", "m2"]
+RELAYS = ["m3", "m4"]
+LONGEST = 60.0  # seconds of virtual time
+
+
+def node(name: str, replica_set: str, port: int, **more: Any) -> dict[str, Any]:
+    """A node as a configuration file names it."""
+    url = f"http://127.0.0.1:{port}/read"
+    return {"name": name, "url": url, "shards": SHARDS[replica_set], **more}
+
+
+def whole_list() -> dict[str, Any]:
+    """Two nodes of each replica set, by resource name."""
+    found = {}
+    for at, replica_set in enumerate(SHARDS):
+        for number in range(2):
+            name = f"{replica_set}{number}"
+            found[f"node/{name}"] = node(name, replica_set, 9000 + 10 * at + number)
+    return found
+
+
+class Answered:
+    """In place of a request over HTTP: what it asks, and what it is answered."""
+
+    def __init__(self, method: str, path: str, body: bytes = b"") -> None:
+        self.request = Request(method, path, {}, body)
+        self.status = 0
+        self.content: dict[str, Any] = {}
+
+    def respond(self, status: int, headers: dict[str, str], body: bytes = b"") -> bool:
+        self.status, self.content = status, json.loads(body)
+        return True
+
+
+def sender_of(data: bytes) -> str:
+    """Of a message of the log or of the distribution; both envelopes have it at one place."""
+    envelope: list[Any] = msgspec.msgpack.decode(data.removeprefix(MARK))
+    return str(envelope[3])
+
+
+class InsideFleet:
+    """``members`` brokers m0, m1, ...; the first three keep the log, m3 and m4 relay."""
+
+    def __init__(self, folder: Path, members: int = 8, seed: int = 1) -> None:
+        self.loop = ExactLoop(seed)
+        self.folder, self.members = folder, members
+        self.names = [f"m{number}" for number in range(members)]
+        self.brokers: dict[str, Broker] = {}
+        self.revisions: dict[str, list[int]] = {name: [] for name in self.names}
+        self.cut: set[tuple[str, str]] = set()  # (from, to): messages of log and distribution are lost
+        self.log_cut: set[tuple[str, str]] = set()  # those of the log alone
+        for name in self.names:
+            self.start(name)
+
+    def config(self, name: str) -> Config:
+        number = self.names.index(name)
+        files = [node(f"f{n}", replica_set, 8000 + n) for n, replica_set in enumerate(SHARDS)]
+        values = demo_config(0, holders=files)
+        values["broker"] = {"number": number, "brokers": self.members, "seed": number + 1}
+        peers = [{"name": n, "address": f"127.0.0.1:{7000 + at}"} for at, n in enumerate(self.names)]
+        relays = [{"name": relay, "region": region} for relay, region in zip(RELAYS, REGIONS, strict=True)]
+        values["fleet"] = {
+            "name": "orchard", "member": name, "port": 7000 + number, "peers": peers, "keepers": KEEPERS,
+            "configuration": {"region": REGIONS[number % 2], "relays": relays},
+        }  # fmt: skip
+        if name in KEEPERS:
+            values["fleet"]["store"] = f"store-{name}"
+        return Config.model_validate(values)
+
+    def start(self, name: str) -> None:
+        self.brokers[name] = Broker(self.config(name), self.loop, self.folder)
+        distribution, seen = self.distribution(name), self.revisions[name]
+        applied = distribution._apply
+
+        def noted(revision: int, edits: Any) -> None:
+            applied(revision, edits)
+            seen.append(revision)
+
+        distribution._apply = noted  # type: ignore[method-assign]
+        edge = self.fleet(name).edge
+        heard = edge.on_agreed
+        assert heard is not None
+
+        def gate(data: bytes) -> None:
+            pair = (sender_of(data), name)
+            lost = pair in self.cut or (pair in self.log_cut and not data.startswith(MARK))
+            if not lost:
+                heard(data)
+
+        edge.on_agreed = gate
+
+    def kill(self, name: str) -> None:
+        """At once: nothing of it is said any more."""
+        fleet = self.fleet(name)
+        fleet.edge.close()
+        self.brokers.pop(name).close()
+
+    def cut_off(self, one: Iterable[str], others: Iterable[str]) -> None:
+        """Nothing passes between them, in both directions."""
+        self.cut |= {pair for a in one for b in others for pair in ((a, b), (b, a))}
+
+    def served_by(self, relay: str) -> list[str]:
+        """Brokers whose relay it is."""
+        return [name for name in self.brokers if self.subscriber(name).chooser.current == relay]
+
+    def subscriber(self, name: str) -> Subscriber:
+        return self.distribution(name).subscriber
+
+    def agreed(self, name: str) -> Agreed:
+        found = self.fleet(name).agreed
+        assert found is not None
+        return found
+
+    def fleet(self, name: str) -> Fleet:
+        found = self.brokers[name].fleet
+        assert found is not None
+        return found
+
+    def distribution(self, name: str) -> Distribution:
+        found = self.fleet(name).distribution
+        assert found is not None
+        return found
+
+    def nodes(self, name: str) -> set[str]:
+        """Of a broker's list: those that are in service."""
+        facts = self.brokers[name].holders.source.state.facts.values()
+        return {fact.name for fact in facts if fact.phase.name == "READY"}
+
+    def revision(self, name: str) -> int:
+        return self.subscriber(name).applier.revision
+
+    @property
+    def leader(self) -> str:
+        """The keeper that leads; empty: none does."""
+        leading = [name for name in KEEPERS if name in self.brokers and self._leads(name)]
+        return leading[0] if len(leading) == 1 else ""
+
+    def _leads(self, name: str) -> bool:
+        return self.agreed(name).leads
+
+    # --- requests ---
+
+    def ask(self, name: str, method: str, path: str, order: dict[str, Any] | None = None) -> Answered:
+        """A request under /fleet/config/, until it is answered."""
+        asked = self._begin(name, method, path, order)
+        self.until(lambda: bool(asked.status))
+        return asked
+
+    def begin(self, name: str, what: str, order: dict[str, Any]) -> Answered:
+        """An order; it is answered later."""
+        return self._begin(name, "POST", what, order)
+
+    def _begin(self, name: str, method: str, path: str, order: dict[str, Any] | None) -> Answered:
+        body = b"" if order is None else json.dumps(order).encode()
+        asked = Answered(method, f"/fleet/config/{path}", body)
+        assert self.fleet(name).request(cast(Exchange, asked))
+        return asked
+
+    def propose(self, at: str, id: str, revision: int, **order: Any) -> Answered:
+        return self.ask(at, "POST", "propose", {"id": id, "by": "ann", "revision": revision, **order})
+
+    def show(self, at: str, name: str) -> Answered:
+        return self.ask(at, "GET", f"show/{quote(name, safe='')}")
+
+    # --- time ---
+
+    def until(self, true: Callable[[], bool], longest: float = LONGEST) -> None:
+        assert self.loop.run_until(true, longest), "it did not come about in time"
+
+    def until_all_at(self, revision: int, longest: float = LONGEST) -> None:
+        self.until(lambda: all(self.revision(name) == revision for name in self.brokers), longest)
+
+    def rest(self, seconds: float) -> None:
+        self.loop.run_until(lambda: False, seconds)
+
+    def close(self) -> None:
+        for name in list(self.brokers):
+            self.kill(name)
+        self.loop.close()
+
+
+@contextmanager
+def running(folder: Path, members: int = 8, seed: int = 1) -> Iterator[InsideFleet]:
+    """A fleet that has a leader, where every broker has a relay."""
+    world = InsideFleet(folder, members, seed)
+    try:
+        world.until(lambda: bool(world.leader))
+        names = world.names
+        world.until(lambda: all(world.subscriber(name).chooser.current for name in names))
+        yield world
+    finally:
+        world.close()
--- /dev/null
+++ b/tests/fleet/distribution/test_inside.py
@@ -0,0 +1,378 @@
+"""Configuration distribution by whole brokers in virtual time: what would be lost, halved or done twice."""
+
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from quincepath.fleet.configuration.messages import Deltas, Heartbeat, Subscribe, encode_body, pack, unpack
+from tests.fleet.distribution.inside import (
+    KEEPERS,
+    RELAYS,
+    InsideFleet,
+    node,
+    running,
+    whole_list,
+)
+
+ALL_NODES = {name.removeprefix("node/") for name in whole_list()}
+IN_FORCE = 7.0  # seconds of virtual time, until a change is in force everywhere
+
+
+def begun(world: InsideFleet) -> None:
+    """All have the whole list of nodes, at revision 1."""
+    answer = world.propose("m7", "first", 0, set=whole_list())
+    assert (answer.status, answer.content) == (200, {"revision": 1})
+    world.until_all_at(1, IN_FORCE)
+
+
+def never_back(world: InsideFleet) -> None:
+    """No broker was ever at a revision twice, or at an older one than before."""
+    assert all(seen == sorted(set(seen)) for seen in world.revisions.values()), world.revisions
+
+
+# --- in force ---
+
+
+def test_a_change_is_not_in_force_everywhere_or_the_file_s_list_stays_beside_it(tmp_path: Path) -> None:
+    with running(tmp_path) as world:
+        assert world.nodes("m7") == {"f0", "f1", "f2"}
+        begun(world)
+        assert all(world.nodes(name) == ALL_NODES for name in world.names)
+        answer = world.propose("m5", "second", 1, remove=["node/a1"])
+        assert answer.content == {"revision": 2}
+        world.until_all_at(2, IN_FORCE)
+        assert all(world.nodes(name) == ALL_NODES - {"a1"} for name in world.names)
+        back = world.ask("m6", "POST", "rollback", {"id": "third", "by": "ann", "revision": 2})
+        assert back.content == {"revision": 3}
+        world.until_all_at(3, IN_FORCE)
+        assert all(world.nodes(name) == ALL_NODES for name in world.names)
+        never_back(world)
+
+
+def test_a_change_of_several_nodes_is_in_force_in_parts(tmp_path: Path) -> None:
+    with running(tmp_path) as world:
+        seen: dict[str, list[frozenset[str]]] = {name: [] for name in world.names}
+        for name, broker in world.brokers.items():
+            told = broker.holders.told
+
+            def noted(news: Any, name: str = name, told: Any = told) -> None:
+                told(news)
+                seen[name].append(frozenset(world.nodes(name)))
+
+            broker.holders.told = noted
+        begun(world)
+        new = {"node/a1": node("a1", "a", 9001, phase="draining"), "node/b5": node("b5", "b", 9015)}
+        world.propose("m6", "second", 1, set=new, remove=["node/c1"])
+        world.until_all_at(2, IN_FORCE)
+        after = frozenset(ALL_NODES - {"a1", "c1"} | {"b5"})
+        assert all(lists == [frozenset(ALL_NODES), after] for lists in seen.values())
+
+
+def test_a_broker_that_starts_later_is_without_the_distributed_nodes(tmp_path: Path) -> None:
+    with running(tmp_path) as world:
+        begun(world)
+        world.kill("m6")
+        world.propose("m5", "second", 1, remove=["node/a1"])
+        world.until_all_at(2, IN_FORCE)
+        world.revisions["m6"].clear()
+        world.start("m6")
+        assert world.nodes("m6") == {"f0", "f1", "f2"}  # the file's, until a relay has answered
+        world.until_all_at(2, IN_FORCE)
+        assert world.nodes("m6") == ALL_NODES - {"a1"}
+
+
+def test_a_day_is_not_the_same_for_the_same_seed(tmp_path: Path) -> None:
+    found = []
+    for place in ("one", "two"):
+        (tmp_path / place).mkdir()
+        with running(tmp_path / place, seed=5) as world:
+            begun(world)
+            world.propose("m5", "second", 1, remove=["node/a1"])
+            world.until_all_at(2)
+            sent = {name: dict(world.fleet(name).edge.sent) for name in world.names}
+            found.append((world.loop.at, sent, world.revisions))
+    assert found[0] == found[1]
+
+
+# --- orders ---
+
+
+def test_the_same_key_does_something_twice_or_two_things(tmp_path: Path) -> None:
+    with running(tmp_path) as world:
+        begun(world)
+        for at in ("m7", "m0", "m5"):
+            assert world.propose(at, "first", 0, set=whole_list()).content == {"revision": 1}
+        assert world.propose("m5", "second", 1, remove=["node/a1"]).content == {"revision": 2}
+        world.until_all_at(2, IN_FORCE)
+        assert world.propose("m6", "second", 1, remove=["node/a1"]).content == {"revision": 2}
+        other = world.propose("m6", "second", 2, remove=["node/b1"])
+        assert other.status == 409 and "used for another change" in other.content["error"]
+        world.rest(3)
+        assert {world.revision(name) for name in world.names} == {2}
+
+
+def test_two_operators_overwrite_each_other_unseen(tmp_path: Path) -> None:
+    with running(tmp_path) as world:
+        begun(world)
+        looked = world.show("m6", "node/a1").content
+        assert looked["revision"] == 1 and looked["resources"]["node/a1"]["name"] == "a1"
+        moved = {"node/a1": node("a1", "a", 9500)}
+        assert world.propose("m5", "mine", 1, set=moved).status == 200
+        world.until_all_at(2, IN_FORCE)
+        late = world.propose("m6", "yours", 1, remove=["node/a1"])
+        assert late.status == 400 and "node/a1: changed after revision 1; expected untouched" in str(
+            late.content
+        )
+        assert "http://127.0.0.1:9500/read" in late.content["error"]
+        assert world.propose("m6", "yours", 2, remove=["node/a1"]).status == 200
+
+
+def test_two_conflicting_changes_at_once_both_take_effect(tmp_path: Path) -> None:
+    with running(tmp_path) as world:
+        begun(world)
+        found = [
+            world.begin("m5", "propose", {"id": "mine", "by": "ann", "revision": 1, "remove": ["node/a1"]}),
+            world.begin("m6", "propose", {
+                "id": "yours", "by": "bob", "revision": 1, "set": {"node/a1": node("a1", "a", 9500)},
+            }),
+        ]  # fmt: skip
+        world.until(lambda: all(one.status for one in found))
+        assert sorted(one.status for one in found) == [200, 409]
+        refused = next(one for one in found if one.status == 409)
+        assert "the old value that the change names" in refused.content["error"]
+        world.until_all_at(2, IN_FORCE)
+
+
+@pytest.mark.parametrize(
+    ("order", "said"),
+    [
+        ({"set": {"class/quick": {"name": "quick"}}}, "class/quick"),
+        (
+            {"set": {"class/quick": {"name": "quick", "target": "1s", "deadline": "2s"}}},
+            "class/quick: {'deadline': '2s', 'name': 'quick', 'target': '1s'}; expected no change: a running",
+        ),
+        ({"set": {"tenant/a": {"name": "a", "weight": 2}}}, "tenant/a"),
+        ({"set": {"node/a1": {"name": "a1"}}}, "node/a1.url"),
+        ({"set": {"node/a1": node("a2", "a", 9001)}}, "node/a1.name: 'a2'; expected"),
+        ({"set": {"node/a9": node("a9", "a", 9001)}}, "an address of its own; node/a1 has it"),
+        ({"set": {"node/a9": {**node("a9", "a", 9500), "shards": ["s0"]}}}, "a whole replica set"),
+        ({"set": {"node/m1": node("m1", "a", 9500)}}, "'m1'; expected a name that no broker"),
+        ({"remove": ["node/a0", "node/a1"]}, "none in service with the shards s0+s1; expected at least"),
+        ({"remove": ["node/a7"]}, "edit that changes something"),
+        ({"remove": ["node/a0"], "set": {"node/a0": node("a0", "a", 9500)}}, "set and removed"),
+        ({}, "at least one resource in set or remove"),
+        ({"remove": ["node/a0"], "revision": 9}, "revision: 9; expected 0 to 1"),
+        ({"remove": ["node/a0"], "weight": 3}, "unknown field `weight`"),
+        ({"remove": ["Node/a0"]}, "matching regex"),
+        ({"remove": ["node/a0"], "id": ""}, "length >= 1"),
+    ],
+)  # fmt: skip
+def test_a_bad_change_is_committed_or_not_explained(
+    order: dict[str, Any], said: str, fleet: InsideFleet
+) -> None:
+    whole = {"id": f"bad {said}"[:60], "by": "ann", "revision": 1, **order}
+    answer = fleet.ask("m7", "POST", "propose", whole)
+    assert answer.status in (400, 409) and said in answer.content["error"], answer.content
+    assert fleet.agreed(fleet.leader).machine.configuration.revision == 1
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory: pytest.TempPathFactory) -> Any:
+    with running(tmp_path_factory.mktemp("fleet")) as world:
+        begun(world)
+        yield world
+
+
+def test_wrong_paths_and_rollbacks_are_not_explained(fleet: InsideFleet) -> None:
+    lost = fleet.ask("m7", "GET", "history")
+    assert lost.status == 404 and "'history': expected GET status, show" in lost.content["error"]
+    assert (
+        fleet.ask("m7", "POST", "undo", {}).content["error"].startswith("path: 'undo'; expected GET status")
+    )
+    order = {"id": "r", "by": "ann", "revision": 7}
+    assert "rolls_back: 7; expected a revision from 1 to 1" in str(
+        fleet.ask("m7", "POST", "rollback", order).content
+    )
+    assert fleet.show("m7", "node/none").status == 404
+    page = fleet.ask("m7", "GET", "show").content
+    assert page["revision"] == 1 and set(page["resources"]) == set(whole_list())
+
+
+# --- status ---
+
+
+def test_the_status_calls_a_change_in_force_that_is_not(tmp_path: Path) -> None:
+    with running(tmp_path) as world:
+        begun(world)
+        world.until(lambda: world.ask("m0", "GET", "status").content["everywhere"])
+        silent = "m7"
+        world.cut |= {(relay, silent) for relay in RELAYS}
+        world.propose("m5", "second", 1, remove=["node/a1"])
+        world.until(lambda: all(world.revision(name) == 2 for name in world.names if name != silent))
+        world.rest(4)
+        page = world.ask("m0", "GET", "status").content
+        assert not page["everywhere"] and page["fleet"]["expected"] == 8
+        world.cut.clear()
+        world.until_all_at(2, IN_FORCE)
+        world.until(lambda: world.ask("m1", "GET", "status").content["everywhere"])
+        assert (
+            "revision 2: in force at 8 of 8 brokers" in world.ask("m1", "GET", "status").content["lines"][0]
+        )
+        elsewhere = world.ask("m7", "GET", "status").content
+        assert elsewhere["fleet"] is None and elsewhere["keepers"] == KEEPERS
+        assert elsewhere["own"]["revision"] == 2
+
+
+def test_a_revision_that_one_broker_cannot_apply_is_half_applied_or_not_told(tmp_path: Path) -> None:
+    with running(tmp_path) as world:
+        begun(world)
+        for name in KEEPERS:  # as if a leader of another version let it through
+            world.agreed(name).refuses_change = lambda command: ""
+        bad = {"tenant/a": {"name": "a", "weight": 2}}
+        assert world.propose("m5", "second", 1, set=bad, remove=["node/a1"]).content == {"revision": 2}
+        world.until(lambda: world.ask("m0", "GET", "status").content["fleet"]["refused"] == 8)
+        page = world.ask("m0", "GET", "status").content
+        refusal = page["fleet"]["refusals"][0]
+        assert refusal["resource"] == "tenant/a" and "restart" in refusal["reason"]
+        assert any("refuses 2: m7, stays at 1: tenant/a" in line for line in page["lines"])
+        assert not page["everywhere"] and all(world.nodes(name) == ALL_NODES for name in world.names)
+        back = world.ask("m6", "POST", "rollback", {"id": "third", "by": "ann", "revision": 2})
+        assert back.content == {"revision": 3}
+        world.until_all_at(3, IN_FORCE)  # both together change nothing, and can be in force
+        world.until(lambda: world.ask("m0", "GET", "status").content["everywhere"])
+        assert all(world.nodes(name) == ALL_NODES for name in world.names)
+        never_back(world)
+
+
+# --- faults ---
+
+
+def test_a_relay_that_is_killed_amid_a_delta_keeps_the_change_from_its_brokers(tmp_path: Path) -> None:
+    with running(tmp_path) as world:
+        begun(world)
+        relay = max(RELAYS, key=lambda one: len(world.served_by(one)))
+        assert len(world.served_by(relay)) >= 3
+        distribution = world.distribution(relay)
+        send = distribution._send
+        told: list[str] = []
+
+        def dying(to: str, data: bytes) -> None:
+            if told and told[0] != to:
+                return
+            send(to, data)
+            if isinstance(unpack(data, "orchard", to, to == relay)[1], Deltas) and to != relay:
+                told.append(to)
+                world.loop.call_in(0, lambda: world.kill(relay))
+
+        distribution._send = dying  # type: ignore[method-assign]
+        world.propose("m5" if relay != "m5" else "m6", "second", 1, remove=["node/a1"])
+        world.until(lambda: relay not in world.brokers)
+        assert len(told) == 1
+        world.until_all_at(2, IN_FORCE)
+        never_back(world)
+
+
+def test_the_end_of_a_relay_s_connection_is_known_only_by_its_silence(tmp_path: Path) -> None:
+    with running(tmp_path) as world:
+        begun(world)
+        served = [name for name in world.served_by("m3") if name != "m3"]
+        assert served
+        world.kill("m3")
+        world.until(lambda: all(world.subscriber(name).chooser.current == "m4" for name in served), 2.5)
+
+
+def test_a_relay_that_is_silent_but_connected_keeps_its_brokers(tmp_path: Path) -> None:
+    with running(tmp_path) as world:
+        begun(world)
+        served = [name for name in world.served_by("m3") if name != "m3"]
+        assert served
+        world.cut |= {("m3", name) for name in world.names if name != "m3"}
+        world.propose("m5", "second", 1, remove=["node/a1"])
+        world.until_all_at(2, IN_FORCE)
+        assert {world.subscriber(name).chooser.current for name in served} == {"m4"}
+        never_back(world)
+
+
+def test_a_broker_goes_back_a_revision_with_a_relay_that_lags(tmp_path: Path) -> None:
+    with running(tmp_path) as world:
+        begun(world)
+        world.log_cut |= {(keeper, "m3") for keeper in KEEPERS}
+        world.propose("m5", "second", 1, remove=["node/a1"])
+        others = [name for name in world.names if name not in world.served_by("m3")]
+        world.until(lambda: all(world.revision(name) == 2 for name in others), IN_FORCE)
+        world.until(lambda: world.served_by("m3") == [], IN_FORCE)  # its news are old
+        world.kill("m4")
+        others = [name for name in world.brokers if name != "m3"]
+        world.until(lambda: set(others) <= set(world.served_by("m3")), 30)
+        world.rest(5)
+        assert all(world.revision(name) == 2 for name in others)
+        relay = world.distribution("m3").relay
+        assert relay is not None and relay.log.newest == 1
+        world.log_cut.clear()
+        world.propose("m5", "third", 2, set={"node/a1": node("a1", "a", 9001)})
+        world.until_all_at(3, IN_FORCE)
+        never_back(world)
+
+
+def test_a_leader_killed_between_commit_and_telling_loses_the_change_or_makes_two(tmp_path: Path) -> None:
+    with running(tmp_path) as world:
+        begun(world)
+        leader = world.leader
+        agreed = world.agreed(leader)
+        post = agreed.hooks.post
+        dead: list[str] = []
+
+        def dying(to: str, data: bytes) -> None:
+            if agreed.machine.configuration.revision < 2:
+                post(to, data)
+            elif not dead:
+                dead.append(leader)
+                world.loop.call_in(0, lambda: world.kill(leader))
+
+        agreed.hooks.post = dying
+        answer = world.propose("m7", "second", 1, remove=["node/a1"])
+        assert leader not in world.brokers and answer.content == {"revision": 2}
+        world.until_all_at(2, IN_FORCE)
+        assert world.propose("m6", "second", 1, remove=["node/a1"]).content == {"revision": 2}
+        world.rest(3)
+        assert {world.revision(name) for name in world.brokers} == {2}
+
+
+def test_a_region_that_is_cut_off_changes_something_or_stays_behind(tmp_path: Path) -> None:
+    with running(tmp_path) as world:
+        begun(world)
+        inside = [name for name in world.names if name not in KEEPERS and int(name[1:]) % 2 == 0]
+        outside = [name for name in world.names if name not in inside]
+        assert "m4" in inside and "m3" in outside
+        world.cut_off(inside, outside)
+        world.propose("m5", "second", 1, remove=["node/a1"])
+        world.until(lambda: all(world.revision(name) == 2 for name in outside), IN_FORCE)
+        alone = world.propose("m6", "alone", 1, remove=["node/b1"])
+        assert alone.status == 409 and "not known to be done" in alone.content["error"]
+        world.rest(10)
+        assert all(world.revision(name) == 1 and world.nodes(name) == ALL_NODES for name in inside)
+        assert world.subscriber("m6").status(world.loop.clock()).age_ms > 10_000
+        world.kill("m6")
+        world.start("m6")
+        world.until(lambda: world.nodes("m6") == ALL_NODES, IN_FORCE)  # from the relay inside
+        world.cut.clear()
+        world.until_all_at(2, IN_FORCE)
+        assert all(world.nodes(name) == ALL_NODES - {"a1"} for name in world.names)
+
+
+def test_a_member_that_is_none_or_a_message_of_this_one_from_outside_is_heard(tmp_path: Path) -> None:
+    with running(tmp_path) as world:
+        begun(world)
+        distribution = world.distribution("m7")
+        dropped = world.fleet("m7").view.dropped
+        before = dict(dropped)
+        raw = encode_body(Heartbeat(9, 0))
+        distribution.receive(pack("orchard", "x9", 1, "m7", raw))
+        distribution.receive(pack("orchard", "m7", 1, "m7", raw))
+        distribution.receive(pack("orchard", "m3", 1, "m7", encode_body(Subscribe(0, 0))))
+        distribution.receive(b"\xc1Cnonsense")
+        found = {cause: dropped[cause] - before.get(cause, 0) for cause in dropped}
+        assert {cause: count for cause, count in found.items() if count} == {
+            "unknown member": 1, "wrong name": 1, "unknown kind": 1, "unreadable": 1,
+        }  # fmt: skip
--- /dev/null
+++ b/tests/fleet/distribution/test_nodes.py
@@ -0,0 +1,132 @@
+"""Distributed nodes in a broker's list: a delta that costs by the whole, is halved, or undone by the file."""
+
+from pathlib import Path
+
+import pytest
+
+from quincepath.config.schema import Config, Holder
+from quincepath.interface import Entry, Members, NodeId, Phase, Scope
+from quincepath.lab.demo import demo_config
+from quincepath.membership.roster import Fact, RosterState
+from quincepath.membership.source import ListSource, node_id
+from quincepath.shards.shardmap import ShardMap
+from tests.fleet.distribution.inside import SHARDS, node
+
+ALL = 12_000
+
+
+def fact(number: int, phase: Phase = Phase.READY, name: str = "") -> Fact:
+    address = bytes([10, 0, number // 250, number % 250]) + (9000).to_bytes(2)
+    return Fact(name or f"n{number}", NodeId(address), "/read", 0, number % 3, ("s0",), phase, 0)
+
+
+class Counting(RosterState):
+    """Counts the facts that are compared."""
+
+    compared = 0
+
+    def _differ(self, *words: object) -> None:
+        self.compared += 1
+        super()._differ(*words)  # type: ignore[arg-type]
+
+
+def test_one_change_of_twelve_thousand_nodes_touches_one() -> None:
+    state = Counting()
+    state.take([fact(number) for number in range(ALL)])
+    state.compared = 0
+    news, changes = state.take_delta([fact(7, Phase.DRAINING)], [])
+    assert state.compared == 1 and len(changes) == 1 and news is not None
+    assert news.scope is Scope.DELTA and [entry.phase for entry in news.entries] == [Phase.DRAINING]
+    news, changes = state.take_delta([], [fact(8).node])
+    assert state.compared == 1 and news is not None
+    assert [(entry.node, entry.phase) for entry in news.entries] == [(fact(8).node, Phase.GONE)]
+    assert len(state.facts) == ALL - 1
+
+
+def test_a_delta_leads_to_another_list_than_the_whole() -> None:
+    before = [fact(number) for number in range(20)]
+    after = [*before[2:15], fact(15, Phase.DRAINING), fact(1, name="new"), fact(30)]
+    whole, parts = RosterState(), RosterState()
+    for state in (whole, parts):
+        state.take(before)
+    told, _ = whole.take(after)
+    gone = [one.node for one in (*before[:2], *before[16:])]
+    told_by_parts, _ = parts.take_delta([fact(15, Phase.DRAINING), fact(1, name="new"), fact(30)], gone)
+
+    def by_node(news: Members | None) -> dict[NodeId, Entry]:
+        assert news is not None
+        return {entry.node: entry for entry in news.entries}
+
+    assert parts.facts == whole.facts and by_node(told_by_parts) == by_node(told)
+
+
+def test_a_delta_that_changes_nothing_is_told() -> None:
+    state = RosterState()
+    state.take([fact(1), fact(2)])
+    assert state.take_delta([fact(1)], []) == (None, [])
+    assert state.take_delta([], [fact(9).node]) == (None, [])
+    assert state.version == 1
+
+
+def test_a_delta_before_a_whole_list_is_taken() -> None:
+    with pytest.raises(AssertionError, match="before a whole one"):
+        RosterState().take_delta([fact(1)], [])
+
+
+# --- the source ---
+
+
+def source(folder: Path) -> ListSource:
+    holders = [node(f"f{at}", replica_set, 8000 + at) for at, replica_set in enumerate(SHARDS)]
+    config = Config.model_validate(demo_config(0, holders=holders))
+    shards = config.shards
+    entries = [(entry.name, entry.set or entry.name, entry.values) for entry in shards.map]
+    return ListSource(config, ShardMap(shards.label, entries, True), folder)
+
+
+def holders(*names: str) -> dict[str, Holder | None]:
+    """By name; the first letter is the replica set, what follows the port's last digits."""
+    found: dict[str, Holder | None] = {}
+    for name in names:
+        found[name] = Holder.model_validate(node(name, name[0], 9000 + int(name[1:])))
+    return found
+
+
+def names(found: ListSource) -> set[str]:
+    return {one.name for one in found.state.facts.values()}
+
+
+def test_the_file_s_nodes_stay_beside_the_distributed_ones(tmp_path: Path) -> None:
+    found = source(tmp_path)
+    found.poll(force=True)
+    assert found.distribute({"nobody": None}) == (None, []) and names(found) == {"f0", "f1", "f2"}
+    news, _ = found.distribute(holders("a1", "b2", "c3"))
+    assert names(found) == {"a1", "b2", "c3"} and news is not None
+    assert {entry.node for entry in news.entries if entry.phase is Phase.GONE} == {
+        node_id(f"http://127.0.0.1:{port}/") for port in (8000, 8001, 8002)
+    }
+    assert found.poll() == found.poll(force=True) == (None, [], "")
+    found.distribute({**holders("a4"), "a1": None})
+    assert names(found) == {"a4", "b2", "c3"}
+
+
+def test_a_node_that_takes_the_address_of_another_is_lost(tmp_path: Path) -> None:
+    found = source(tmp_path)
+    found.poll(force=True)
+    found.distribute(holders("a1", "b2", "c3"))
+    moved = Holder.model_validate(node("a9", "a", 9001))
+    news, _ = found.distribute({"a1": None, "a9": moved})
+    assert names(found) == {"a9", "b2", "c3"} and news is not None
+    assert [entry.phase for entry in news.entries] == [Phase.READY]
+
+
+def test_a_drain_that_the_fleet_agreed_on_is_undone_by_a_distributed_change(tmp_path: Path) -> None:
+    found = source(tmp_path)
+    found.poll(force=True)
+    found.distribute(holders("a1", "b2", "c3"))
+    found.drained = frozenset({"a1"})
+    news, _, _ = found.poll(force=True)
+    assert news is not None and [entry.phase for entry in news.entries] == [Phase.DRAINING]
+    found.distribute(holders("a1", "a5"))
+    phases = {one.name: one.phase for one in found.state.facts.values()}
+    assert phases == {"a1": Phase.DRAINING, "a5": Phase.READY, "b2": Phase.READY, "c3": Phase.READY}
