quincepath fleet config: propose, rollback, status, show; faults between broker processes

Operators need a way to the distributed configuration that does not let two of them overwrite each other. `show` prints committed resources as a file with the revision that was looked at; `propose FILE` commits it, or is refused where a later revision touched a resource of it; `rollback` commits the values from before a revision; `status` tells from a keeper how many brokers are at which revision, who is behind since when and who refuses, and ends with status 3 while the newest is not in force everywhere.

Over processes: three keepers, two relays, three brokers more and six holders, queries meanwhile. A leader dies when it has applied a change and told nobody, a relay when it has told one broker (quincepath/lab/fleet/injected.py plants these: no signal can time them), a relay is stopped with its connections standing, a relay hears nothing of the log and all are connected to it when the other one is gone. A first try waited a minute in vain: a broker that starts before its region's relay takes the other one and goes home only after a minute, so that the relays are started first; and a name was told as it stood in the URL.

--- a/quincepath/cli/main.py
+++ b/quincepath/cli/main.py
@@ -14,6 +14,7 @@
 from rich.table import Table
 
 from quincepath.broker.service import Broker
+from quincepath.cli.configuration import configuration
 from quincepath.cli.fleet import fleet
 from quincepath.cli.lab import fail, hunt, rehearse_command, replay
 from quincepath.cli.topology import topology
@@ -387,5 +388,6 @@
 
 
 fleet.add_command(topology)
+fleet.add_command(configuration)
 for command in (rehearse_command, replay, hunt, fleet):
     main.add_command(command)
--- a/quincepath/fleet/configuration_requests.py
+++ b/quincepath/fleet/configuration_requests.py
@@ -2,6 +2,7 @@
 
 import json
 from typing import Any
+from urllib.parse import unquote
 
 from quincepath.fleet.agreed import Agreed
 from quincepath.fleet.configuration.changes import Change, ChangeError, Fault, encode_change
@@ -44,13 +45,13 @@
     # --- pages ---
 
     def _page(self, exchange: Exchange, what: str) -> None:
-        name = what.removeprefix("show/")
+        name = unquote(what.removeprefix("show/"))
         found: dict[str, Any] | None = None
         if what == "status":
             found = self.distribution.status_page()
         elif what == "show":
             found = self.distribution.show_page()
-        elif name != what:
+        elif what.startswith("show/"):
             found = self.distribution.show_page(name)
             if found is None:
                 newest = self.agreed.machine.configuration.revision
--- a/quincepath/fleet/distribution.py
+++ b/quincepath/fleet/distribution.py
@@ -7,7 +7,6 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Any
-from urllib.parse import unquote
 
 import msgspec
 from prometheus_client import CollectorRegistry, Counter, Gauge
@@ -269,7 +268,6 @@
         """Committed resources as this member knows them; one where it is named, None where it is absent."""
         history = self.ports.history()
         values = history.table.values
-        name = unquote(name)
         if name and name not in values:
             return None
         names = [name] if name else sorted(values)
--- /dev/null
+++ b/tests/fleet/distribution/processes.py
@@ -0,0 +1,167 @@
+"""A fleet of broker processes with real holders: three keepers, two relays, three brokers more."""
+
+import json
+import sys
+from collections import Counter
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+from click.testing import CliRunner
+from ruamel.yaml import YAML
+
+from quincepath.cli.main import fetch, main
+from quincepath.fronts.remote_read.remote_pb2 import LabelMatcher, ReadRequest
+from quincepath.lab.demo import demo_config, make_cluster
+from quincepath.lab.process import PROGRAM, Child
+from quincepath.standins.record import Got, read
+from tests.test_fleet_processes import free_ports, until
+
+MEMBERS = [f"m{number}" for number in range(8)]
+KEEPERS = MEMBERS[:3]
+EAST, WEST = "m3", "m4"  # the relays; brokers of even numbers stand in the east
+QUERY_TIME = 10.0  # seconds
+Injected = dict[str, tuple[str, Path]]
+
+
+class ProcessFleet:
+    """``injected``: by member, a fault and its file (quincepath/lab/fleet/injected.py)."""
+
+    def __init__(self, folder: Path, injected: Injected) -> None:
+        self.folder = folder
+        self.cluster = make_cluster(1, ["--work-ms", "1", "--tractors", "1"], folder)
+        self.children = {name: Child(name, folder / f"{name}.log") for name in MEMBERS}
+        self.metrics: dict[str, str] = {}
+        self.urls: dict[str, str] = {}
+        self.answers: Counter[str] = Counter()
+        self.cluster.start()
+        ports = free_ports(len(MEMBERS))
+        peers = [
+            {"name": name, "address": f"127.0.0.1:{port}"} for name, port in zip(MEMBERS, ports, strict=True)
+        ]
+        for number, name in enumerate(MEMBERS):
+            self._write(number, name, ports[number], peers)
+            if name in injected:
+                fault, file = injected[name]
+                words = [sys.executable, "-m", "quincepath.lab.fleet.injected", fault, str(file)]
+                self.children[name].program = words
+        # The relays first: who does not find its own at once goes back to it after a minute only.
+        for group in ([EAST, WEST], [name for name in MEMBERS if name not in (EAST, WEST)]):
+            for name in group:
+                self.start(name)
+            for name in group:
+                self.up(name)
+
+    def _write(self, number: int, name: str, port: int, peers: list[dict[str, str]]) -> None:
+        values = demo_config(0, holders=self.cluster.entries(set()))
+        values["broker"] = {"number": number, "brokers": len(MEMBERS), "zone": "upper"}
+        region = "west" if number % 2 else "east"
+        relays = [{"name": EAST, "region": "east"}, {"name": WEST, "region": "west"}]
+        values["fleet"] = {
+            "name": "orchard", "member": name, "port": port, "peers": peers, "keepers": KEEPERS,
+            "configuration": {"region": region, "relays": relays},
+        }  # fmt: skip
+        if name in KEEPERS:
+            values["fleet"]["store"] = f"store-{name}"
+        with (self.folder / f"{name}.yaml").open("w") as file:
+            YAML(typ="safe").dump(values, file)
+
+    def start(self, name: str) -> None:
+        self.children[name].start(["serve", "-c", str(self.folder / f"{name}.yaml")])
+
+    def up(self, name: str) -> None:
+        said = self.children[name].said()
+        self.metrics[name] = said["metrics"].removesuffix("/metrics")
+        self.urls[name] = said["remote_read"]
+
+    def start_again(self, name: str) -> None:
+        """After it has ended, without a fault."""
+        self.children[name].kill()
+        self.children[name].program = PROGRAM
+        self.start(name)
+        self.up(name)
+
+    # --- what is asked ---
+
+    def config(self, *words: str) -> tuple[int, str]:
+        """``quincepath fleet config``: exit status and output."""
+        result = CliRunner().invoke(main, ["fleet", "config", *words])
+        return result.exit_code, result.output
+
+    def propose(self, at: str, key: str, revision: int, **change: Any) -> tuple[int, str]:
+        path = self.folder / f"change-{key}.yaml"
+        with path.open("w") as file:
+            YAML(typ="safe").dump({"revision": revision, **change}, file)
+        return self.config("propose", str(path), "--at", self.metrics[at], "--by", "ann", "--key", key)
+
+    def status(self, at: str) -> dict[str, Any]:
+        found: dict[str, Any] = json.loads(
+            self.config("status", "--at", self.metrics[at], "--json")[1].splitlines()[0]
+        )
+        return found
+
+    def own(self, name: str) -> dict[str, Any]:
+        """What a broker says of itself."""
+        found: dict[str, Any] = self.status(name)["own"]
+        return found
+
+    def log(self, name: str) -> list[dict[str, Any]]:
+        lines = (self.folder / f"{name}.log").read_text().splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
+    def revisions(self, name: str) -> list[int]:
+        """As a broker's log tells them, in order."""
+        return [line["revision"] for line in self.log(name) if line["event"] == "configuration: in force"]
+
+    def got(self, holder: str) -> int:
+        """Parts that came in at a holder."""
+        path = self.folder / f"holder-{holder}.jsonl"
+        return sum(isinstance(line, Got) for _, line in read(path))
+
+    # --- queries ---
+
+    def query(self, name: str) -> None:
+        """One over all shards; its answer is counted."""
+        request = ReadRequest()
+        one = request.queries.add(start_timestamp_ms=0, end_timestamp_ms=2_000_000_000_000)
+        one.matchers.add(type=LabelMatcher.EQ, name="__name__", value="engine_hours")
+        one.matchers.add(type=LabelMatcher.RE, name="district", value=".+")
+        status, headers, _ = fetch(self.urls[name], request, QUERY_TIME)
+        self.answers[headers.get("quincepath-answer", "none") if status == 200 else f"status {status}"] += 1
+
+    def until(self, true: Callable[[], bool], *serving: str) -> None:
+        """Until it is so; meanwhile queries are sent to ``serving``."""
+
+        def looked() -> bool:
+            for name in serving:
+                self.query(name)
+            return true()
+
+        until(looked)
+
+    def stop(self) -> None:
+        for child in self.children.values():
+            child.stop()
+        self.cluster.stop()
+
+
+def nodes(world: ProcessFleet) -> dict[str, Any]:
+    """All holders of the file, by resource name."""
+    return {f"node/{entry['name']}": entry for entry in world.cluster.entries(set())}
+
+
+@contextmanager
+def running(folder: Path, injected: Injected) -> Iterator[ProcessFleet]:
+    """A fleet where every broker has the relay of its region, and the file's nodes are revision 1."""
+    world = ProcessFleet.__new__(ProcessFleet)
+    try:
+        world.__init__(folder, injected)  # type: ignore[misc]
+        for number, name in enumerate(MEMBERS):
+            home = WEST if number % 2 else EAST
+            until(lambda name=name, home=home: world.own(name)["relay"] == home)  # type: ignore[misc]
+        until(lambda: world.propose("m7", "first", 0, set=nodes(world))[0] == 0)
+        until(lambda: world.config("status", "--at", world.metrics["m0"])[0] == 0)
+        yield world
+    finally:
+        world.stop()  # no child is left where one does not come up
