Weights of tenants change in a running broker, by the distributed configuration

A tenant's share was fixed when a broker started, so that a distributed change of one was refused. Fair turns now take another weight from the next step on: how far a tenant's queue is ahead of virtual time is kept in slot time, else a tenant whose weight rises from 0.01 would wait for what it was charged by the old one. A distributed weight takes the place of the file's, and the file's is back when the resource is removed. At most 1,000 tenants have one, as in a file: each may have a queue at every broker; the leader refuses more. Without limits.fair a weight has no effect, as before.

--- a/quincepath/broker/service/core.py
+++ b/quincepath/broker/service/core.py
@@ -125,8 +125,9 @@
 
             registry = self.metrics.registry
             guest = FleetGuest(
-                config, config.fleet, loop, self.log, registry, base, self.holders, self.driver
-            )
+                config, config.fleet, loop, self.log, registry, base, self.holders, self.driver,
+                self.waiting_room,
+            )  # fmt: skip
             self.fleet = guest.fleet
             self.guests.add(guest)
             if guest.fleet.agreed is not None and guest.fleet.agreed.maps is not None:
--- a/quincepath/broker/waiting.py
+++ b/quincepath/broker/waiting.py
@@ -37,6 +37,11 @@
         self._urgent = False  # something came that decides, not only slots given back
         self._freed: dict[int, int] = {}  # by ask, parts that came back and are not told yet
 
+    def set_weight(self, tenant: str, weight: float | None) -> None:
+        """Of a tenant, from the next step on; None: as the configuration file says."""
+        self.turns.set_weight(tenant, weight)
+        self._urgent = True
+
     def enter(self, now: int, ask: Ask, turn: Turn) -> None:
         """An ask that admission took."""
         self._held[ask.handle] = _Held(ask, turn.deadline, now)
--- a/quincepath/fleet/configuration/admissible.py
+++ b/quincepath/fleet/configuration/admissible.py
@@ -1,9 +1,9 @@
 """What a running broker can put in force beyond the schema, and what its leader lets through.
 
 Each member judges by its own configuration: the replica sets of its shard map, the names of the fleet's
-members. Classes are fixed when a broker starts (the decision module is built for them), and so are the
-weights of tenants; a value of either is refused with its reason. Taking one out again is not: it has never
-been in force, and a rollback must be possible.
+members. Classes are fixed when a broker starts, since the decision module is built for them: a value of one
+is refused with its reason. Taking one out again is not: it has never been in force, and a rollback must be
+possible.
 """
 
 from collections.abc import Iterable, Mapping, Sequence
@@ -16,10 +16,8 @@
 from quincepath.fleet.configuration.table import Rules
 
 READY = "ready"
-FIXED = {
-    CLASS: "no change: a running broker takes its classes from its file, and a restart",
-    TENANT: "no change: a running broker takes its tenants from its file, and a restart",
-}
+FIXED = {CLASS: "no change: a running broker takes its classes from its file, and a restart"}
+TENANTS_MOST = 1000  # with a weight of their own, as in a file: each may have a queue at every broker
 
 
 class _Placed(msgspec.Struct):
@@ -52,11 +50,15 @@
                 )
         return found
 
-    def uncovered(self, values: Mapping[str, bytes], edits: Sequence[Edit]) -> list[Fault]:
-        """Replica sets that edits would leave without a node in service; reads all nodes.
+    def leader_faults(self, values: Mapping[str, bytes], edits: Sequence[Edit]) -> list[Fault]:
+        """What the leader has against edits beyond ``faults``; reads all names, and all nodes for a node."""
+        return self._uncovered(values, edits) + _too_many_tenants(values, edits)
 
-        For the leader: once a revision names a node, the distributed list alone is in force, so that a change
-        that names a few nodes of many would take the others out.
+    def _uncovered(self, values: Mapping[str, bytes], edits: Sequence[Edit]) -> list[Fault]:
+        """Replica sets that edits would leave without a node in service.
+
+        Once a revision names a node the distributed list alone is in force, so that a change that names a few
+        nodes of many would take the others out.
         """
         if self.rules.replica_sets is None or not any(split_name(edit.name)[0] == NODE for edit in edits):
             return []
@@ -67,6 +69,16 @@
         ]
 
 
+def _too_many_tenants(values: Mapping[str, bytes], edits: Iterable[Edit]) -> list[Fault]:
+    added = sum(
+        edit.new is not None and edit.name not in values
+        for edit in edits
+        if split_name(edit.name)[0] == TENANT
+    )
+    total = added + sum(split_name(name)[0] == TENANT for name in values) if added else 0
+    return [Fault("tenants", str(total), f"at most {TENANTS_MOST}")] if total > TENANTS_MOST else []
+
+
 def _covered(values: Mapping[str, bytes], edits: Iterable[Edit]) -> set[frozenset[str]]:
     """Replica sets with a node in service, after edits."""
     edited = {edit.name: edit.new for edit in edits}
--- a/quincepath/fleet/distribution.py
+++ b/quincepath/fleet/distribution.py
@@ -229,7 +229,7 @@
             return ""  # a repeat: its answer stands
         edits = history.resolved(change)
         found = history.table.faults(edits, self.admissible.rules) or self.admissible.faults(edits)
-        return summed_up(found or self.admissible.uncovered(history.table.values, edits))
+        return summed_up(found or self.admissible.leader_faults(history.table.values, edits))
 
     # --- for people ---
 
--- a/quincepath/limits/fair/core.py
+++ b/quincepath/limits/fair/core.py
@@ -69,6 +69,11 @@
     def new_runs(self) -> Runs:
         return Runs(self.settings, self.pool, self.queues, self.tags, self._learn)
 
+    def set_weight(self, tenant: str, weight: float | None) -> None:
+        """Another weight from the next step on; None: the one that the settings name, else 1."""
+        configured = (self.settings.weights or {}).get(tenant)
+        self.queues.set_weight(tenant, configured if weight is None else weight, self.tags.virtual)
+
     # --- one step ---
 
     def step(self, now: int, inputs: Iterable[Input] = ()) -> list[Output]:
--- a/quincepath/limits/fair/queues.py
+++ b/quincepath/limits/fair/queues.py
@@ -100,6 +100,19 @@
         queue = self.own[tenant] = Queue("=" + tenant, self.weights.get(tenant, 1.0), tag)
         return queue
 
+    def set_weight(self, tenant: str, weight: float | None, virtual: int) -> None:
+        """Another weight from now on; None: 1, and no queue of its own by right.
+
+        How far its queue is ahead of virtual time stays the same in slot time.
+        """
+        if weight is None:
+            self.weights.pop(tenant, None)
+        else:
+            self.weights[tenant] = weight
+        queue = self.own.get(tenant)
+        if queue is not None:
+            _reweigh(queue, 1.0 if weight is None else weight, virtual)
+
     def _forget(self) -> Queue | None:
         """Drops the idle queue that is least ahead, if any is idle and not of a named tenant."""
         idle = [queue for name, queue in self.own.items() if queue.idle() and name not in self.weights]
@@ -141,3 +154,11 @@
         if not queue.waiting:
             del self.backlogged[queue.key]
         return one, queue
+
+
+def _reweigh(queue: Queue, weight: float, virtual: int) -> None:
+    ratio = queue.weight / weight
+    queue.tag = virtual + int((queue.tag - virtual) * ratio)
+    queue.news = int(queue.news * ratio)
+    queue.news_speed *= ratio
+    queue.weight = weight
--- a/tests/fleet/distribution/inside.py
+++ b/tests/fleet/distribution/inside.py
@@ -84,6 +84,8 @@
         values["broker"] = {"number": number, "brokers": self.members, "seed": number + 1}
         peers = [{"name": n, "address": f"127.0.0.1:{7000 + at}"} for at, n in enumerate(self.names)]
         relays = [{"name": relay, "region": region} for relay, region in zip(RELAYS, REGIONS, strict=True)]
+        values["limits"]["fair"] = {"slots": 12, "quick_slots": 3}
+        values["tenants"] = [{"name": "desk", "weight": 5}]
         values["fleet"] = {
             "name": "orchard", "member": name, "port": 7000 + number, "peers": peers, "keepers": KEEPERS,
             "configuration": {"region": REGIONS[number % 2], "relays": relays},
@@ -151,6 +153,12 @@
         facts = self.brokers[name].holders.source.state.facts.values()
         return {fact.name for fact in facts if fact.phase.name == "READY"}
 
+    def weights(self, name: str) -> dict[str, float]:
+        """Of tenants, in a broker's fair turns."""
+        room = self.brokers[name].waiting_room
+        assert room is not None
+        return room.turns.queues.weights
+
     def revision(self, name: str) -> int:
         return self.subscriber(name).applier.revision
 
--- a/tests/limits/fair/test_turns.py
+++ b/tests/limits/fair/test_turns.py
@@ -79,6 +79,25 @@
     assert sum(used.values()) > 0.93 * 8 * 100 * SECOND
 
 
+@pytest.mark.parametrize("before", [0.01, 1.0, 100.0])
+def test_a_weight_that_changes_while_queries_run_and_wait_counts_from_then_on(before: float) -> None:
+    """Neither is starved for what it was charged by another weight."""
+    world = bench(FairSettings(slots=12, quick_slots=4, weights={"quiet": before}))
+    queries = {"loud": Query("loud", SECOND, kind=1), "quiet": Query("quiet", SECOND, kind=2)}
+    depth = {"loud": 50, "quiet": 50}
+    contend(world, queries, depth, 40 * SECOND, 100 * MS)
+    world.turns.set_weight("quiet", 3.0)
+    used = dict(world.used)
+    contend(world, queries, depth, 80 * SECOND, 100 * MS)
+    spent = {name: world.used[name] - used.get(name, 0) for name in queries}
+    assert spent["quiet"] / sum(spent.values()) == pytest.approx(0.75, abs=0.05)
+    world.turns.set_weight("quiet", None)
+    assert world.turns.queues.weights == {"quiet": before}  # as the settings have it
+    world.turns.set_weight("other", 2.0)
+    world.turns.set_weight("other", None)
+    assert "other" not in world.turns.queues.weights
+
+
 @pytest.mark.parametrize("factor", [0.01, 100.0])
 def test_shares_hold_where_cost_is_predicted_a_hundred_times_wrong(factor: float) -> None:
     """Whether too low (it is charged while it runs) or too high (given back, and unlearned)."""
