A distributed list of nodes may take several changes before it is in force

The first revision that names a node puts the distributed list in the file's place. One change holds at most 512 resources, so that a fleet of 12,000 nodes would have run on a part of them until the last of some 24 changes. A resource list/nodes with whole: false now leaves the file's list in force until it is removed or says true; rolling that back brings the file's list back, and so does a revision after which no node is named. Without the resource it stays as it was: the nodes that are named are all.

--- a/quincepath/broker/service/fleet.py
+++ b/quincepath/broker/service/fleet.py
@@ -9,7 +9,7 @@
 from quincepath.broker.driver import Driver
 from quincepath.broker.service.guest import Guest
 from quincepath.broker.service.holders import Holders
-from quincepath.config.schema import Config, FleetEntry, Holder, TenantEntry
+from quincepath.config.schema import Config, FleetEntry, Holder, NodeListEntry, TenantEntry
 from quincepath.fleet.agreement.entries import Stable
 from quincepath.fleet.agreement.storing import Storage
 from quincepath.fleet.configuration.changes import Edit
@@ -65,14 +65,17 @@
 def put_in_force(edits: Sequence[Edit], holders: Holders, room: "WaitingRoom | None") -> None:
     """Nodes and tenants that edits of the distributed configuration name; all in this turn."""
     nodes: dict[str, Holder | None] = {}
+    whole: bool | None = None
     for edit in edits:
-        name = split_name(edit.name)[1]
+        kind, name = split_name(edit.name)
         entry = None if edit.new is None else decode_resource(edit.name, edit.new)
-        match split_name(edit.name)[0], entry:
+        match kind, entry:
             case "node", Holder() | None:
                 nodes[name] = entry
+            case "list", NodeListEntry() | None:
+                whole = entry is None or entry.whole
             case "tenant", TenantEntry() | None:
                 if room is not None:
                     room.set_weight(name, None if entry is None else entry.weight)
-    if nodes:
-        holders.distribute(nodes)
+    if nodes or whole is not None:
+        holders.distribute(nodes, whole)
--- a/quincepath/broker/service/holders.py
+++ b/quincepath/broker/service/holders.py
@@ -39,22 +39,21 @@
 
     def read(self, force: bool = False) -> None:
         """Look for news of the holders now; ``force`` reads the file even if it looks unchanged."""
-        news, changes, error = self.source.poll(force)
+        self._tell(*self.source.poll(force))
+
+    def distribute(self, changed: Mapping[str, Holder | None], whole: bool | None) -> None:
+        """Holders as the fleet distributes them; see ``ListSource.distribute``."""
+        self._tell(*self.source.distribute(changed, whole))
+
+    def _tell(self, news: Members | None, changes: Sequence[Change], error: str) -> None:
         if error:
             self.metrics.list_errors.inc()
             self.log.error("list unreadable, the one before stays in force", cause=error)
-        self._tell(news, changes)
-
-    def _tell(self, news: Members | None, changes: Sequence[Change]) -> None:
         for change in changes:
             self.log.info("holder changed", node=change.name, change=change.what)
         if news is not None:
             self.told(news)
 
-    def distribute(self, changed: Mapping[str, Holder | None]) -> None:
-        """Holders as the fleet distributes them, by name; None: no longer one."""
-        self._tell(*self.source.distribute(changed))
-
     def poll(self) -> None:
         """Look now, and again and again."""
         self.loop.call_in(self.every, self.poll)
--- a/quincepath/config/schema/__init__.py
+++ b/quincepath/config/schema/__init__.py
@@ -16,7 +16,7 @@
     book_limits,
 )
 from quincepath.config.schema.classes import ClassEntry, ClassRule
-from quincepath.config.schema.distribution import DistributionEntry, RelayEntry
+from quincepath.config.schema.distribution import DistributionEntry, NodeListEntry, RelayEntry
 from quincepath.config.schema.fleet import (
     FleetEntry,
     FleetLimits,
@@ -62,6 +62,7 @@
     "MetricsListen",
     "Model",
     "Name",
+    "NodeListEntry",
     "OverloadEntry",
     "Pattern",
     "PeerEntry",
--- a/quincepath/config/schema/distribution.py
+++ b/quincepath/config/schema/distribution.py
@@ -1,5 +1,7 @@
 """Distribution of the configuration by relays: which members relay, in which region each of them stands."""
 
+from typing import Literal
+
 from pydantic import Field, model_validator
 
 from quincepath.config.schema.base import Model, Name
@@ -28,3 +30,10 @@
         if doubled:
             raise ValueError(f"relays: {doubled[0]!r} stands twice")
         return self
+
+
+class NodeListEntry(Model):
+    """Of the distributed nodes as a whole: whether they are all, and so take the place of the file's list."""
+
+    name: Literal["nodes"]
+    whole: bool
--- a/quincepath/fleet/configuration/admissible.py
+++ b/quincepath/fleet/configuration/admissible.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from quincepath.fleet.configuration.changes import Edit, Fault
-from quincepath.fleet.configuration.resources import CLASS, NODE, TENANT, shown, split_name
+from quincepath.fleet.configuration.resources import CLASS, NODE, NODE_LIST, TENANT, shown, split_name
 from quincepath.fleet.configuration.table import Rules
 
 READY = "ready"
@@ -27,7 +27,14 @@
     phase: str = READY
 
 
+class _List(msgspec.Struct):
+    """Of the list: whether the nodes are all."""
+
+    whole: bool
+
+
 _placed = msgspec.msgpack.Decoder(_Placed)
+_lists = msgspec.msgpack.Decoder(_List)
 
 
 @dataclass(slots=True, frozen=True)
@@ -57,15 +64,18 @@
     def _uncovered(self, values: Mapping[str, bytes], edits: Sequence[Edit]) -> list[Fault]:
         """Replica sets that edits would leave without a node in service.
 
-        Once a revision names a node the distributed list alone is in force, so that a change that names a few
-        nodes of many would take the others out.
+        While the list is whole the distributed nodes alone are in force, so that a change that names a few
+        nodes of many would take the others out. Where none is left the file's list serves again.
         """
-        if self.rules.replica_sets is None or not any(split_name(edit.name)[0] == NODE for edit in edits):
+        touched = any(split_name(edit.name)[0] == NODE or edit.name == NODE_LIST for edit in edits)
+        if self.rules.replica_sets is None or not touched:
+            return []
+        after = _nodes_after(values, edits)
+        if not after or not _whole_after(values, edits):
             return []
-        covered = _covered(values, edits)
         return [
             Fault("nodes", f"none in service with the shards {'+'.join(sorted(shards))}", "at least one")
-            for shards in sorted(self.rules.replica_sets - covered, key=sorted)
+            for shards in sorted(self.rules.replica_sets - _covered(after), key=sorted)
         ]
 
 
@@ -79,14 +89,23 @@
     return [Fault("tenants", str(total), f"at most {TENANTS_MOST}")] if total > TENANTS_MOST else []
 
 
-def _covered(values: Mapping[str, bytes], edits: Iterable[Edit]) -> set[frozenset[str]]:
-    """Replica sets with a node in service, after edits."""
-    edited = {edit.name: edit.new for edit in edits}
-    kept = (value for name, value in values.items() if name not in edited and split_name(name)[0] == NODE)
-    new = (value for name, value in edited.items() if value is not None and split_name(name)[0] == NODE)
-    found = set()
-    for value in (*kept, *new):
-        placed = _placed.decode(value)
-        if placed.phase == READY:
-            found.add(frozenset(placed.shards))
-    return found
+def _nodes_after(values: Mapping[str, bytes], edits: Iterable[Edit]) -> list[bytes]:
+    """Values of all nodes, after edits."""
+    edited = {edit.name: edit.new for edit in edits if split_name(edit.name)[0] == NODE}
+    kept = [value for name, value in values.items() if name not in edited and split_name(name)[0] == NODE]
+    return kept + [value for value in edited.values() if value is not None]
+
+
+def _whole_after(values: Mapping[str, bytes], edits: Iterable[Edit]) -> bool:
+    """Whether the distributed nodes are all, after edits."""
+    value = values.get(NODE_LIST)
+    for edit in edits:
+        if edit.name == NODE_LIST:
+            value = edit.new
+    return value is None or _lists.decode(value).whole
+
+
+def _covered(nodes: Iterable[bytes]) -> set[frozenset[str]]:
+    """Replica sets with a node in service."""
+    placed = map(_placed.decode, nodes)
+    return {frozenset(one.shards) for one in placed if one.phase == READY}
--- a/quincepath/fleet/configuration/resources.py
+++ b/quincepath/fleet/configuration/resources.py
@@ -11,7 +11,7 @@
 import msgspec
 from pydantic import ValidationError
 
-from quincepath.config.schema import ClassEntry, Holder, Model, TenantEntry
+from quincepath.config.schema import ClassEntry, Holder, Model, NodeListEntry, TenantEntry
 from quincepath.fleet.configuration.changes import (
     SHOWN_MOST,
     VALUE_BYTES_MOST,
@@ -19,8 +19,14 @@
     Fault,
 )
 
-KINDS: Mapping[str, type[Model]] = {"class": ClassEntry, "node": Holder, "tenant": TenantEntry}
+KINDS: Mapping[str, type[Model]] = {
+    "class": ClassEntry,
+    "list": NodeListEntry,
+    "node": Holder,
+    "tenant": TenantEntry,
+}
 NODE, CLASS, TENANT = "node", "class", "tenant"
+NODE_LIST = "list/nodes"  # absent: the nodes that are named are all
 
 SHOWN_VALUE_MOST = 160  # characters
 
--- a/tests/fleet/distribution/test_inside.py
+++ b/tests/fleet/distribution/test_inside.py
@@ -69,6 +69,26 @@
         assert all(lists == [frozenset(ALL_NODES), after] for lists in seen.values())
 
 
+def test_a_list_that_takes_several_changes_is_in_force_before_the_last_one(tmp_path: Path) -> None:
+    with running(tmp_path) as world:
+        parts = list(whole_list().items())
+        first = dict(parts[:2]) | {"list/nodes": {"name": "nodes", "whole": False}}
+        assert world.propose("m7", "one", 0, set=first).content == {"revision": 1}
+        assert world.propose("m6", "two", 1, set=dict(parts[2:4])).content == {"revision": 2}
+        early = world.propose("m6", "early", 2, remove=["list/nodes"])
+        assert early.status == 409 and "none in service with the shards s4+s5" in early.content["error"]
+        assert world.propose("m6", "three", 2, set=dict(parts[4:])).content == {"revision": 3}
+        world.until_all_at(3, IN_FORCE)
+        assert all(world.nodes(name) == {"f0", "f1", "f2"} for name in world.names)
+        assert world.propose("m5", "now", 3, remove=["list/nodes"]).content == {"revision": 4}
+        world.until_all_at(4, IN_FORCE)
+        assert all(world.nodes(name) == ALL_NODES for name in world.names)
+        back = world.ask("m6", "POST", "rollback", {"id": "back", "by": "ann", "revision": 4})
+        assert back.content == {"revision": 5}
+        world.until_all_at(5, IN_FORCE)
+        assert all(world.nodes(name) == {"f0", "f1", "f2"} for name in world.names)
+
+
 def test_a_tenant_s_weight_is_not_in_force_or_the_file_s_is_lost(tmp_path: Path) -> None:
     with running(tmp_path) as world:
         assert world.weights("m7") == {"desk": 5.0}
@@ -176,6 +196,8 @@
         ({"set": {"node/a9": {**node("a9", "a", 9500), "shards": ["s0"]}}}, "a whole replica set"),
         ({"set": {"node/m1": node("m1", "a", 9500)}}, "'m1'; expected a name that no broker"),
         ({"remove": ["node/a0", "node/a1"]}, "none in service with the shards s0+s1; expected at least"),
+        ({"set": {"list/nodes": {"name": "nodes"}}}, "list/nodes.whole"),
+        ({"set": {"list/all": {"name": "all", "whole": True}}}, "list/all.name: 'all'; expected"),
         ({"remove": ["node/a7"]}, "edit that changes something"),
         ({"remove": ["node/a0"], "set": {"node/a0": node("a0", "a", 9500)}}, "set and removed"),
         ({}, "at least one resource in set or remove"),
