--- a/benchmarks/capacity/scale/command.py
+++ b/benchmarks/capacity/scale/command.py
@@ -16,7 +16,7 @@
 from benchmarks.capacity.scale.pace import carried
 from benchmarks.capacity.scale.plan import PORT, Mechanism, Plan
 from benchmarks.capacity.scale.result import NotCarried, Result, Verdict, line
-from benchmarks.capacity.scale.run import Run
+from benchmarks.capacity.scale.run import Options, Run
 from benchmarks.capacity.scale.simulated import SimulationTimeError, simulate_ledger
 
 BROKERS_MOST = 2600
@@ -45,6 +45,8 @@
                 self.fail(f"{name!r} stands twice: expected each at most once", param, ctx)
         if Mechanism.VIEW not in names:
             self.fail(f"{value!r}: expected {Mechanism.VIEW} among them, all others need it", param, ctx)
+        if Mechanism.CONFIGURATION in names and Mechanism.LOG not in names:
+            self.fail(f"{value!r}: expected {Mechanism.LOG} beside {Mechanism.CONFIGURATION}", param, ctx)
         return tuple(one for one in Mechanism if one in names)
 
 
@@ -61,6 +63,12 @@
     default=Profile.DEMO.value,
     help="What hollow brokers count: as the demo's queries, or as at the planned size.",
 )
+@click.option(
+    "--changes",
+    type=click.IntRange(0, 1000),
+    default=10,
+    help="Of the configuration, in the calm; each must come into force everywhere.",
+)
 @click.option("--kill-share", type=click.FloatRange(0, 0.5, min_open=True), default=0.02)
 @click.option(
     "--faults",
@@ -80,6 +88,7 @@
     duration: float,
     queries: float,
     profile: str,
+    changes: int,
     kill_share: float,
     fault_path: Path | None,
     processes: int | None,
@@ -116,7 +125,8 @@
         plan = msgspec.structs.replace(plan, mechanisms=kept)
         check(plan, machine)
         faults = None if fault_path is None else read_faults(fault_path, plan)
-        result = Run(plan, machine, duration, kill_share, faults, say).play()
+        options = Options(duration=duration, kill_share=kill_share, changes=changes, faults=faults)
+        result = Run(plan, options, machine, say).play()
     result.not_carried = dropped
     simulate(plan, result)
     if out is not None:
--- a/benchmarks/capacity/scale/hollow.py
+++ b/benchmarks/capacity/scale/hollow.py
@@ -7,11 +7,12 @@
 
 from prometheus_client import CollectorRegistry
 
+from benchmarks.capacity.scale.configuration import HollowConfiguration
 from benchmarks.capacity.scale.links import BlackHole, LinkFaults, LossySocket
 from benchmarks.capacity.scale.load import Queries
 from benchmarks.capacity.scale.messages import BrokerFigures
-from benchmarks.capacity.scale.meter import LEDGER, LOAD, LOG, VIEW, MeteredLoop
-from benchmarks.capacity.scale.plan import Configurations, MemberPlan, Plan
+from benchmarks.capacity.scale.meter import CONFIGURATION, LEDGER, LOAD, LOG, VIEW, MeteredLoop
+from benchmarks.capacity.scale.plan import Configurations, Mechanism, MemberPlan, Plan
 from benchmarks.capacity.scale.traffic import figures_of
 from quincepath.broker.service.fleet import open_keepers_store
 from quincepath.fleet.edge import Edge
@@ -61,6 +62,7 @@
         log: Any,
         expected_living: Callable[[], int],
         expected_drained: Callable[[], frozenset[str]],
+        in_force: Callable[[int, int], None],
     ) -> None:
         self.member, self.loop, self._plan = member, loop, plan
         self._expected_living, self._expected_drained = expected_living, expected_drained
@@ -80,6 +82,12 @@
             open_keepers_store,
             HollowEdge,
         )
+        self.configuration: HollowConfiguration | None = None
+        if Mechanism.CONFIGURATION in plan.mechanisms and self.fleet.agreed is not None:
+            boot = self.fleet.view.own.boot
+            self.configuration = HollowConfiguration(
+                plan, member, loop, self.edge, self.fleet.agreed, boot, in_force
+            )
         self._charge_receivers()
         self._watch_changes()
         self.look_at_living()
@@ -108,7 +116,22 @@
         if edge.on_other is not None:
             edge.on_other = charged(LEDGER, edge.on_other)
         if edge.on_agreed is not None:
-            edge.on_agreed = charged(LOG, edge.on_agreed)
+            edge.on_agreed = self._divided(charged(LOG, edge.on_agreed))
+
+    def _divided(self, to_log: Callable[[bytes], None]) -> Callable[[bytes], None]:
+        """The log and the configuration share their connections."""
+        configuration = self.configuration
+        if configuration is None:
+            return to_log
+
+        def received(data: bytes) -> None:
+            if configuration.owns(data):
+                with self.loop.meter.charged(CONFIGURATION):
+                    configuration.receive(data)
+            else:
+                to_log(data)
+
+        return received
 
     def _watch_changes(self) -> None:
         told = self.edge.on_told
@@ -171,11 +194,19 @@
 
     def figures(self) -> BrokerFigures:
         """What it has sent."""
-        return figures_of(self.member.name, self.edge.sent)
+        found = figures_of(self.member.name, self.edge.sent)
+        if self.configuration is not None:
+            messages, size = self.configuration.messages, self.configuration.bytes
+            found.messages[CONFIGURATION], found.bytes[CONFIGURATION] = messages, size
+            found.messages[LOG] -= messages
+            found.bytes[LOG] -= size
+        return found
 
     def end(self, leaves: bool) -> None:
         """End without a word, or in good order."""
         self._closed = True
+        if self.configuration is not None:
+            self.configuration.close()
         if self.fleet.shared is not None:
             self.fleet.shared.close()
         if not leaves:
--- a/benchmarks/capacity/scale/host.py
+++ b/benchmarks/capacity/scale/host.py
@@ -17,12 +17,16 @@
 from benchmarks.capacity.scale.hollow import HollowBroker
 from benchmarks.capacity.scale.links import BlackHole, LinkFaults
 from benchmarks.capacity.scale.memory import reachable_bytes
-from benchmarks.capacity.scale.meter import HARNESS, LEDGER, LOG, VIEW, Lateness, MeteredLoop
+from benchmarks.capacity.scale.meter import CONFIGURATION, HARNESS, LEDGER, LOG, VIEW, Lateness, MeteredLoop
 from benchmarks.capacity.scale.plan import Configurations, MemberPlan, Plan
+from quincepath.fleet.configuration.changes import Change, Edit, encode_change
+from quincepath.fleet.configuration.commands import ChangeConfiguration
+from quincepath.fleet.configuration.resources import encode_resource
 from quincepath.net.stream import Stream
 from quincepath.observe.logs import logger, setup
 
 START_GAP = 5_000_000  # ns between two brokers that start: a process has other work meanwhile
+TENANT, WEIGHTS = "scale", 90  # the resource that is changed, and how many values it takes in turn
 LACKING_MOST = 8  # brokers named in a progress report
 
 
@@ -41,6 +45,9 @@
         self._names: dict[tuple[str, int], str] = {}
         self._sent_before: Counter[str] = Counter()  # by brokers that have ended
         self._deaths_before = 0
+        self._reached: dict[int, tuple[int, int]] = {}
+        self._proposed_at: dict[int, int] = {}
+        self._refused: list[str] = []
         self._living = 0
         self._drained: frozenset[str] = frozenset()
         self._faults: LinkFaults | None = None
@@ -68,6 +75,8 @@
                 self._expect(living, frozenset(drained))
             case m.Command(id, member, name, back):
                 self._command(id, member, name, back)
+            case m.ProposeChanges(member, count, every):
+                self._propose(member, count, every, None)
             case m.LinkFault() | m.EndLinkFault():
                 self._change_links(message)
             case m.BeginPhase():
@@ -109,6 +118,7 @@
             self._log,
             lambda: self._living,
             lambda: self._drained,
+            self._in_force,
         )
         broker.edge.lose(self._names, self._faults)
         self.brokers[name] = broker
@@ -132,6 +142,34 @@
         if broker is not None:
             broker.propose(id, name, back, lambda why: self._say(m.Committed(id, why)))
 
+    # --- configuration ---
+
+    def _in_force(self, before: int, revision: int) -> None:
+        """A revision, and all between it and the one before, came into force at one more broker."""
+        now = time.monotonic_ns()
+        for one in range(before + 1, revision + 1):
+            brokers, _ = self._reached.get(one, (0, 0))
+            self._reached[one] = (brokers + 1, now)
+
+    def _propose(self, member: str, left: int, every: int, value: bytes | None, number: int = 1) -> None:
+        """One change of one resource, then the next."""
+        broker = self.brokers.get(member)
+        if broker is None or broker.fleet.agreed is None or not left:
+            return
+        agreed, proposed_at = broker.fleet.agreed, time.monotonic_ns()
+        new = encode_resource({"name": TENANT, "weight": float(number % WEIGHTS + 1)})
+        wall = time.time_ns() // 1_000_000
+        change = Change(f"change {number}", "scale", wall, (Edit(f"tenant/{TENANT}", value, new),))
+
+        def done(why: str) -> None:
+            if why:
+                self._refused.append(f"{change.id}: {why}")
+                return
+            self._proposed_at[agreed.machine.configuration.answers[change.id].revision] = proposed_at
+
+        agreed.command(ChangeConfiguration(change.id, "scale", wall, encode_change(change)), done)
+        self.loop.call_in(every, lambda: self._propose(member, left - 1, every, new, number + 1))
+
     # --- links ---
 
     def _change_links(self, message: m.LinkFault | m.EndLinkFault) -> None:
@@ -152,6 +190,7 @@
     def _progress(self) -> m.Progress:
         brokers = list(self.brokers.values())
         lacking = [one.member.name for one in brokers if not one.knows_living_at or not one.knows_drained_at]
+        ends = [one.configuration for one in brokers if one.configuration is not None]
         sent = Counter(self._sent_before)
         for one in brokers:
             sent.update(one.edge.sent)
@@ -168,6 +207,10 @@
             messages=sent["datagrams"] + sent["posted"] + sent["frames"],
             bytes=sent["bytes"],
             deaths=self._deaths_before + sum(one.deaths for one in brokers),
+            subscribed=sum(bool(end.subscriber.chooser.current) for end in ends),
+            revision_least=min((end.revision for end in ends), default=0),
+            changes_committed=len(self._proposed_at),
+            changes_refused=tuple(self._refused[:LACKING_MOST]),
         )
 
     def _figures(self, memory: bool) -> m.Figures:
@@ -184,6 +227,8 @@
             dropped=dropped,
             digests=tuple({broker.fleet.view.table.digest for broker in self.brokers.values()}),
             memory=self._memory() if memory else {},
+            proposed_at=self._proposed_at,
+            reached={one: m.Reach(*reach) for one, reach in self._reached.items()},
         )
 
     def _memory(self) -> dict[str, int]:
@@ -194,7 +239,10 @@
         fleet = broker.fleet
         beyond: list[Any] = [self, self.loop, self._log, broker, fleet, fleet.edge, fleet.entry]
         beyond += [fleet.log, self._places, self._names, self._configurations]
-        parts = {VIEW: fleet.view, LEDGER: fleet.shared, LOG: fleet.agreed}
+        configuration = broker.configuration
+        subscriber = None if configuration is None else configuration.subscriber
+        parts = {VIEW: fleet.view, LEDGER: fleet.shared, LOG: fleet.agreed, CONFIGURATION: subscriber}
+        beyond.append(configuration)
         found = {}
         for name, part in parts.items():
             others = [other for other in parts.values() if other is not part]
--- a/benchmarks/capacity/scale/messages.py
+++ b/benchmarks/capacity/scale/messages.py
@@ -57,6 +57,14 @@
     back: bool = False
 
 
+class ProposeChanges(msgspec.Struct, tag="changes", frozen=True):
+    """Have ``member`` propose so many changes of the configuration, one every so many ns."""
+
+    member: str
+    count: int
+    every: int
+
+
 class LinkFault(msgspec.Struct, tag="link", frozen=True):
     """Datagrams from ``senders`` to ``receivers`` are lost with this probability; 1 cuts connections, too."""
 
@@ -96,6 +104,7 @@
     | EndBrokers
     | Expect
     | Command
+    | ProposeChanges
     | LinkFault
     | EndLinkFault
     | BeginPhase
@@ -127,6 +136,10 @@
     messages: int = 0  # sent by all brokers of the host since its start, ended ones included
     bytes: int = 0
     deaths: int = 0  # times that one of its brokers came to believe another dead
+    subscribed: int = 0  # brokers whose subscriber is served by a relay
+    revision_least: int = 0  # that is in force at all of its brokers
+    changes_committed: int = 0
+    changes_refused: tuple[str, ...] = ()  # why, the first ones
 
 
 class Committed(msgspec.Struct, tag="committed", frozen=True):
@@ -144,6 +157,13 @@
     bytes: dict[str, int]
 
 
+class Reach(msgspec.Struct, frozen=True):
+    """Of one revision: brokers at which it came into force, and when at the last of them."""
+
+    brokers: int
+    last_at: int
+
+
 class Figures(msgspec.Struct, tag="figures", frozen=True):
     """Counts of one host since its start. ``processor``: ns by account; ``used``: ns of the whole process."""
 
@@ -155,6 +175,8 @@
     dropped: dict[str, int]
     digests: tuple[int, ...]  # different ones among its brokers' views
     memory: dict[str, int] = {}  # bytes by mechanism, of one broker
+    proposed_at: dict[int, int] = {}  # by revision: when its change was proposed here
+    reached: dict[int, Reach] = {}  # by revision
 
 
 ToParent = Progress | Committed | Figures
--- a/benchmarks/capacity/scale/meter.py
+++ b/benchmarks/capacity/scale/meter.py
@@ -17,7 +17,7 @@
 from quincepath.fleet.shared import Shared
 from quincepath.net.loop import Loop, Timer
 
-VIEW, LEDGER, LOG = "view", "ledger", "log"
+VIEW, LEDGER, LOG, CONFIGURATION = "view", "ledger", "log", "configuration"
 METRICS = "metrics"  # gauges and counters for people, and the look whether the view is settled
 CONNECTIONS = "connections"  # reading, dialling and accepting, for the view's exchanges and the log
 LOAD = "load"  # counts of queries that a hollow broker makes up
--- a/benchmarks/capacity/scale/pace.py
+++ b/benchmarks/capacity/scale/pace.py
@@ -10,6 +10,7 @@
 VIEW_MS, VIEW_MS_A_MEMBER = 1.2, 0.0006
 LEDGER_MS = {Profile.DEMO: 1.6, Profile.TARGET: 8.0}
 LOG_MS = 0.2
+CONFIGURATION_MS = 0.3
 OTHER_MS = 1.0
 
 
@@ -22,6 +23,8 @@
             return LEDGER_MS[plan.profile]
         case Mechanism.LOG:
             return LOG_MS
+        case Mechanism.CONFIGURATION:
+            return CONFIGURATION_MS
 
 
 def carried(plan: Plan, machine: Machine) -> tuple[tuple[Mechanism, ...], list[NotCarried]]:
@@ -33,6 +36,8 @@
         total = sum(wanted_ms(one, plan) for one in kept) * plan.brokers
         if total <= usable or mechanism is Mechanism.VIEW:
             continue
+        if mechanism not in kept:
+            continue
         kept.remove(mechanism)
         wanted = wanted_ms(mechanism, plan) * plan.brokers / 1000
         why = f"about {wanted:.1f} cores wanted at real pace; {cores} of {machine.cores} may be used"
--- a/benchmarks/capacity/scale/plan.py
+++ b/benchmarks/capacity/scale/plan.py
@@ -17,6 +17,8 @@
 ZONES = 10
 VOTERS = 3
 PORT = 17_946  # of every member; each has a loopback address of its own
+RELAYS_A_REGION_MOST = 5  # so that there are 15, as control machines are planned
+BROKERS_A_RELAY = 60
 HOSTS_A_BLOCK = 250  # addresses used of each 256
 
 
@@ -26,6 +28,7 @@
     VIEW = "view"
     LEDGER = "ledger"
     LOG = "log"
+    CONFIGURATION = "configuration"
 
 
 class MemberPlan(msgspec.Struct, frozen=True):
@@ -82,6 +85,18 @@
         voters = VOTERS if self.brokers >= VOTERS else 1
         return tuple(f"b{number}" for number in range(voters))
 
+    @property
+    def relays(self) -> list[MemberPlan]:
+        """Hollow brokers with a relay of the configuration beside them: some of each region, no voter."""
+        if Mechanism.CONFIGURATION not in self.mechanisms:
+            return []
+        each = max(min(self.brokers // BROKERS_A_RELAY, RELAYS_A_REGION_MOST), 1)
+        found: dict[str, list[MemberPlan]] = {}
+        for one in self.members[self.real :]:
+            if one.name not in self.voters:
+                found.setdefault(one.region, []).append(one)
+        return [one for members in found.values() for one in members[:each]]
+
     def names_of(self, process: int) -> list[str]:
         """The hollow brokers of one process, from 0: dealt in turn, so that zones and voters are spread."""
         return [f"b{number}" for number in range(self.real + process, self.brokers, self.processes)]
--- a/benchmarks/capacity/scale/result.py
+++ b/benchmarks/capacity/scale/result.py
@@ -1,5 +1,6 @@
 """The one line of JSON that a run ends with, and how figures are put together for it."""
 
+import statistics
 from collections import Counter, deque
 from collections.abc import Sequence
 from enum import StrEnum
@@ -30,6 +31,23 @@
     memory_bytes: int | None = None
 
 
+class ChangeFigures(msgspec.Struct, kw_only=True):
+    """Changes of the configuration: from the proposal until in force at every subscriber.
+
+    The worst second is of one hollow broker on average, all mechanisms together.
+    """
+
+    committed: int
+    subscribers: int
+    relays: int
+    every_s: float
+    in_force_median_s: float = 0.0
+    in_force_99th_s: float = 0.0
+    in_force_most_s: float = 0.0
+    worst_messages_a_second: float | None = None
+    worst_bytes_a_second: float | None = None
+
+
 class RealFigures(msgspec.Struct, kw_only=True):
     """Mean of the real brokers. Processor time and memory are of the whole process, with its data path."""
 
@@ -85,6 +103,7 @@
     hollow_processor_ms_a_second: float | None = None  # whole host processes, a broker
     hollow_resident_bytes: int | None = None
     real_brokers: RealFigures | None = None
+    changes: ChangeFigures | None = None
     events: list[Event] = []
     digests: int | None = None  # different views at the end
     dropped: dict[str, int] = {}
@@ -142,8 +161,9 @@
 
     def mechanism(self, name: str, processor: float | None = None) -> MechanismFigures:
         """Mean and most of one mechanism."""
-        messages = [(a.messages[name] - b.messages[name]) / seconds for b, a, seconds in self._rates]
-        sizes = [(a.bytes[name] - b.bytes[name]) / seconds for b, a, seconds in self._rates]
+        rates = self._rates
+        messages = [(a.messages.get(name, 0) - b.messages.get(name, 0)) / span for b, a, span in rates]
+        sizes = [(a.bytes.get(name, 0) - b.bytes.get(name, 0)) / span for b, a, span in rates]
         return MechanismFigures(
             messages_a_second=_mean(messages),
             messages_a_second_most=round(max(messages, default=0.0), 2),
@@ -186,5 +206,22 @@
         return round(spent / 1e6 / self.seconds / max(self.sent.brokers, 1), 4)
 
 
+def change_figures(figures: Sequence[Figures], about: ChangeFigures) -> ChangeFigures:
+    """``about`` with its times. Raises ``ValueError`` where a revision was not in force everywhere."""
+    proposed = {revision: at for one in figures for revision, at in one.proposed_at.items()}
+    times = []
+    for revision, at in proposed.items():
+        reached = [one.reached[revision] for one in figures if revision in one.reached]
+        brokers = sum(one.brokers for one in reached)
+        if brokers != about.subscribers:
+            raise ValueError(f"revision {revision}: in force at {brokers}, expected {about.subscribers}")
+        times.append((max(one.last_at for one in reached) - at) / SECOND)
+    times.sort()
+    about.in_force_median_s = round(statistics.median(times), 3)
+    about.in_force_99th_s = round(times[min(len(times) * 99 // 100, len(times) - 1)], 3)
+    about.in_force_most_s = round(times[-1], 3)
+    return about
+
+
 def _mean(values: Sequence[float]) -> float:
     return round(sum(values) / max(len(values), 1), 2)
--- a/tests/capacity_scale/test_hollow_equals_real.py
+++ b/tests/capacity_scale/test_hollow_equals_real.py
@@ -11,7 +11,7 @@
 from tests.capacity_scale.runs import played
 
 APART = 0.05  # share by which means may differ
-OPTIONS = ("--brokers", "8", "--duration", "15", "--queries", "5")
+OPTIONS = ("--brokers", "8", "--duration", "15", "--queries", "5", "--mechanisms", "view,ledger,log")
 
 
 def apart(one: float, other: float) -> float:
@@ -20,20 +20,28 @@
 
 
 @pytest.fixture(scope="module")
-def fleets(tmp_path_factory: pytest.TempPathFactory) -> tuple[dict[str, Any], dict[str, Any]]:
-    hollow = played(tmp_path_factory.mktemp("hollow"), *OPTIONS)
-    real = played(tmp_path_factory.mktemp("real"), *OPTIONS, "--real", "8")
-    assert hollow["hollow"] == real["real"] == 8
-    return hollow["by_mechanism"], real["real_brokers"]["by_mechanism"]
+def hollow(tmp_path_factory: pytest.TempPathFactory) -> dict[str, Any]:
+    """By mechanism, of the fleet of hollow brokers."""
+    result = played(tmp_path_factory.mktemp("hollow"), *OPTIONS)
+    assert (result["hollow"], result["real"]) == (8, 0)
+    return dict(result["by_mechanism"])
+
+
+@pytest.fixture(scope="module")
+def real(tmp_path_factory: pytest.TempPathFactory) -> dict[str, Any]:
+    """By mechanism, of the fleet of processes."""
+    result = played(tmp_path_factory.mktemp("real"), *OPTIONS, "--real", "8")
+    assert (result["hollow"], result["real"]) == (0, 8)
+    return dict(result["real_brokers"]["by_mechanism"])
 
 
 @pytest.mark.parametrize("what", ["messages_a_second", "bytes_a_second"])
 @pytest.mark.parametrize("mechanism", ["view", "ledger", "log"])
 def test_hollow_brokers_send_what_real_ones_send(
-    fleets: tuple[dict[str, Any], dict[str, Any]], mechanism: str, what: str
+    hollow: dict[str, Any], real: dict[str, Any], mechanism: str, what: str
 ) -> None:
-    hollow, real = (fleet[mechanism][what] for fleet in fleets)
-    assert apart(hollow, real) <= APART, f"{mechanism} {what}: hollow {hollow}, real {real}"
+    one, other = hollow[mechanism][what], real[mechanism][what]
+    assert apart(one, other) <= APART, f"{mechanism} {what}: hollow {one}, real {other}"
 
 
 def test_a_difference_of_six_in_a_hundred_is_seen() -> None:
--- a/tests/capacity_scale/test_pace.py
+++ b/tests/capacity_scale/test_pace.py
@@ -22,7 +22,7 @@
 
 def test_the_dearest_mechanism_goes_first_and_is_named_with_the_cores_it_wants() -> None:
     kept, dropped = carried(plan(900), MACHINE)
-    assert kept == (Mechanism.VIEW, Mechanism.LOG)
+    assert kept == (Mechanism.VIEW, Mechanism.LOG, Mechanism.CONFIGURATION)
     assert [one.mechanism for one in dropped] == [Mechanism.LEDGER]
     assert f"about {wanted_ms(Mechanism.LEDGER, plan(900)) * 0.9:.1f} cores" in dropped[0].why
     assert "6 of 8" in dropped[0].why
@@ -31,7 +31,7 @@
 def test_the_view_is_always_played() -> None:
     kept, dropped = carried(plan(2600), Machine(64 << 30, 100_000, 2))
     assert kept == (Mechanism.VIEW,)
-    assert {one.mechanism for one in dropped} == {Mechanism.LEDGER, Mechanism.LOG}
+    assert {one.mechanism for one in dropped} == set(ALL) - {Mechanism.VIEW}
 
 
 def test_the_same_seed_simulates_the_same_messages() -> None:
--- a/tests/capacity_scale/test_sixty.py
+++ b/tests/capacity_scale/test_sixty.py
@@ -18,8 +18,11 @@
         assert known_by_all(result, what)
         assert [event["of"] for event in result["events"] if event["what"] == what] == [running]
     assert result["digests"] == 1
+    assert result["changes"]["committed"] == 10
+    assert result["changes"]["subscribers"] == 57 and result["changes"]["relays"] == 3
+    assert result["changes"]["in_force_most_s"] >= result["changes"]["in_force_median_s"] > 0
     assert result["real_brokers"]["queries_answered"] > 0
-    for name in ("view", "ledger", "log"):
+    for name in ("view", "ledger", "log", "configuration"):
         figures = result["by_mechanism"][name]
         assert figures["messages_a_second"] > 0 and figures["bytes_a_second"] > 0
         assert figures["processor_ms_a_second"] > 0 and figures["memory_bytes"] > 0
