--- a/benchmarks/capacity/scale/run.py
+++ b/benchmarks/capacity/scale/run.py
@@ -88,6 +88,12 @@
         self._judge()
         return self.result
 
+    def not_played(self) -> Result:
+        """Nothing is started: for a fleet that the machine does not carry at all."""
+        self.loop.close()
+        self.result.verdict = Verdict.SIMULATED
+        return self.result
+
     def _with_processes(self) -> None:
         plan = self.plan
         links = RelayedLinks(plan, self.loop) if plan.relayed else None
