Scale run: log and configuration alone, so that 2,600 subscribers fit on sockets

The configuration's time in force is wanted at 2,600 brokers on sockets, where the view alone takes nearly all cores. `--mechanisms log,configuration` leaves the view idle: its periods are a minute and more, and only voters and relays know all members, the others know these alone. Drains, kills and faults need a view and are not played then; real brokers and files of faults are refused.

--- a/benchmarks/capacity/scale/watch.py
+++ b/benchmarks/capacity/scale/watch.py
@@ -159,3 +159,8 @@
         sum(getattr(one, what) for one in progress) == brokers
         for what in ("running", "settled", "knows_living")
     )
+
+
+def all_run(progress: Sequence[m.Progress], brokers: int) -> bool:
+    """Whether so many run, where none has a view to say more."""
+    return running(progress) == brokers
--- a/tests/capacity_scale/test_configuration.py
+++ b/tests/capacity_scale/test_configuration.py
@@ -1,10 +1,13 @@
 """Figures of changes that were not in force everywhere, and messages that reach the wrong end."""
 
+from pathlib import Path
+
 import pytest
 
 from benchmarks.capacity.scale.messages import Figures, Reach
 from benchmarks.capacity.scale.plan import Mechanism, Plan
 from benchmarks.capacity.scale.result import SECOND, ChangeFigures, change_figures
+from tests.capacity_scale.runs import played
 
 
 def figures(proposed: dict[int, int], reached: dict[int, Reach]) -> Figures:
@@ -36,3 +39,13 @@
         assert len(set(regions)) == 3
         assert not {one.name for one in plan.relays} & {"b0", "b1", "b2", *plan.voters}
     assert Plan(60, 0, 1, (Mechanism.VIEW, Mechanism.LOG), 2, 10.0, "nowhere").relays == []
+
+
+def test_changes_come_into_force_at_all_without_the_view(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    options = ("--brokers", "40", "--duration", "2", "--processes", "2", "--changes", "4")
+    result = played(tmp_path, *options, "--mechanisms", "log,configuration")
+    assert result["verdict"] in ("good", "void"), result["why"]
+    assert (result["changes"]["committed"], result["changes"]["subscribers"]) == (4, 40)
+    assert set(result["by_mechanism"]) == {"log", "configuration"} and result["events"] == []
--- a/tests/capacity_scale/test_options.py
+++ b/tests/capacity_scale/test_options.py
@@ -30,6 +30,7 @@
         (["--brokers", "10", "--mechanisms", "view,gossip"], ["--mechanisms", "gossip", "ledger"]),
         (["--brokers", "10", "--mechanisms", "view,view"], ["--mechanisms", "view", "twice"]),
         (["--brokers", "10", "--mechanisms", "ledger"], ["--mechanisms", "ledger", "expected view"]),
+        (["--brokers", "10", "--real", "1", "--mechanisms", "log"], ["--mechanisms", "log", "expected view"]),
         (["--brokers", "10", "--mechanisms", "view,configuration"], ["--mechanisms", "expected log beside"]),
         (["--brokers", "10", "--changes", "1001"], ["--changes", "1001", "0<=x<=1000"]),
         (["--brokers", "10", "--duration", "1"], ["--duration", "1", "2<=x<=600"]),
