--- a/benchmarks/capacity/scale/__init__.py
+++ b/benchmarks/capacity/scale/__init__.py
@@ -13,7 +13,7 @@
 
 - ``command`` reads options, ``machine`` refuses what does not fit, ``pace`` leaves out what is too dear;
 - ``plan`` says who is in the fleet, ``run`` plays the phases, ``calm`` and ``events`` are the phases;
-- ``watch`` is what the parent sees, ``hosts`` and ``real`` are its processes, ``messages`` what it tells hosts;
+- ``watch`` is what the parent sees, ``hosts`` and ``real`` its processes, ``messages`` what it tells hosts;
 - ``host`` is a process of ``hollow`` brokers, with ``meter``, ``memory``, ``load``, ``links`` and
   ``configuration`` for one each;
 - ``simulated`` plays in virtual time what was left out; ``result`` holds the figures.
