Brokers take turns at a cold node also where its id is long: ten bytes left no fraction

At fault: ColdNodes._chill, where (me + int.from_bytes(id)) / instances % 1 is 0.0 for every broker, as a float has no digits left behind the point: all have the same, last turn, so the first token comes late and to all in one moment. Ruled out: the rate and the work that a part is booked at, which the simulation with six bytes shows unchanged.

The last six bytes of the id count now.

--- a/quincepath/policy/cold.py
+++ b/quincepath/policy/cold.py
@@ -17,7 +17,7 @@
     def _chill(self, node: Node, since: int) -> None:
         """It started then. Tokens of before now may be spent: guards against brokers that all restart now."""
         node.cold_from, node.filled_at = since, min(since, self.now)
-        node.next_token = (self.settings.me + int.from_bytes(node.id)) / self.settings.instances % 1
+        node.next_token = (self.settings.me + int.from_bytes(node.id[-6:])) / self.settings.instances % 1
         self._fill(node, 0)
         node.tokens = 0.0
 
--- a/tests/test_cold_nodes.py
+++ b/tests/test_cold_nodes.py
@@ -1,6 +1,7 @@
 """What all brokers together send to cold nodes stays in its bound; seeded fleets in virtual time."""
 
 from dataclasses import replace
+from itertools import pairwise
 from typing import Any
 
 import pytest
@@ -95,3 +96,17 @@
     broker.advance(SECOND)
     broker.query([0])
     assert broker.sends or since
+
+
+@pytest.mark.parametrize("name", [node_id(1), b"s-20916b5a", b"s-34de9e84", b"x" * 255], ids=repr)
+@pytest.mark.parametrize("count", [3, 200, 2600])
+def test_brokers_take_turns_at_a_cold_node_however_long_its_id_is(name: bytes, count: int) -> None:
+    """An id of ten bytes divided as a float has no fraction left: all brokers had the same turn, the last."""
+    turns = []
+    for me in range(0, count, max(count // 100, 1)):
+        broker = Broker(settings(instances=count, me=me), seed=me, nodes=[entry(0, 0)])
+        started = replace(entry(1, 0, since=broker.now), node=name)
+        broker.feed(Members(Scope.FULL, 2, (started,)))
+        turns.append(broker.policy.nodes[name].next_token)
+    gaps = [later - earlier for earlier, later in pairwise(sorted(turns))]
+    assert max(gaps) < 2 / len(turns) and min(gaps) > 0.5 / len(turns)
