Scale run: hollow brokers use the broker's own distribution, and two runs never share addresses

Hollow brokers drove the configuration's cores themselves, as the running broker had no edge for them yet. Now a hollow broker has the same section and the same Distribution as a real one, and the run counts its messages, charges its time and notes revisions; real brokers of a run subscribe, too. So what is measured is what runs, by construction.

--- a/benchmarks/capacity/scale/command.py
+++ b/benchmarks/capacity/scale/command.py
@@ -5,6 +5,8 @@
 import sys
 import tempfile
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from types import FrameType
 
@@ -26,6 +28,7 @@
 STATUS = {Verdict.GOOD: 0, Verdict.SIMULATED: 0, Verdict.FAILED: 1, Verdict.VOID: 3}
 BAD_OPTION = 2
 BLOCKS = range(20, 100)  # second octets that runs use; the laboratory's relay uses 100 to 199
+RESERVATION_HOST = "255.1"  # third and fourth octet; no broker has these
 
 
 class MechanismList(click.ParamType):  # type: ignore[type-arg]
@@ -112,7 +115,7 @@
         raise click.BadParameter(f"{out}: expected a file in a folder that exists", param_hint="--out")
     machine = Machine.read()
     hollow = brokers - real
-    with tempfile.TemporaryDirectory(prefix="quincepath-scale-") as folder:
+    with tempfile.TemporaryDirectory(prefix="quincepath-scale-") as folder, reserved_block() as block:
         plan = Plan(
             brokers=brokers,
             real=real,
@@ -122,7 +125,7 @@
             queries=queries,
             profile=Profile(profile),
             folder=folder,
-            block=free_block(),
+            block=block,
             relayed=real > 0 and fault_path is not None,
         )
         kept, dropped = carried(plan, machine)
@@ -160,18 +163,23 @@
         result.verdict = Verdict.FAILED
 
 
-def free_block() -> int:
-    """A block of loopback addresses where no other run's first broker listens.
+@contextmanager
+def reserved_block() -> Iterator[int]:
+    """A block of loopback addresses of this run alone, until it ends.
 
-    Raises ``RefusedError`` where all are in use.
+    Two runs that start in one moment must not take the same: a socket at an address that no broker has
+    keeps the block. Raises ``RefusedError`` where all are in use.
     """
     for block in BLOCKS:
-        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as reservation:
             try:
-                probe.bind((f"127.{block}.0.1", PORT))
+                reservation.bind((f"127.{block}.{RESERVATION_HOST}", PORT))
+                with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
+                    probe.bind((f"127.{block}.0.1", PORT))  # of a program that keeps no reservation
             except OSError:
                 continue
-        return block
+            yield block
+            return
     raise RefusedError(f"port {PORT} is taken on 127.{BLOCKS[0]}.0.1 and all further blocks")
 
 
--- a/benchmarks/capacity/scale/hollow.py
+++ b/benchmarks/capacity/scale/hollow.py
@@ -12,7 +12,7 @@
 from benchmarks.capacity.scale.load import Queries
 from benchmarks.capacity.scale.messages import BrokerFigures
 from benchmarks.capacity.scale.meter import CONFIGURATION, LEDGER, LOAD, LOG, VIEW, MeteredLoop
-from benchmarks.capacity.scale.plan import Configurations, Mechanism, MemberPlan, Plan
+from benchmarks.capacity.scale.plan import Configurations, MemberPlan, Plan
 from benchmarks.capacity.scale.traffic import figures_of
 from quincepath.broker.service.fleet import open_keepers_store
 from quincepath.fleet.edge import Edge
@@ -83,11 +83,8 @@
             HollowEdge,
         )
         self.configuration: HollowConfiguration | None = None
-        if Mechanism.CONFIGURATION in plan.mechanisms and self.fleet.agreed is not None:
-            boot = self.fleet.view.own.boot
-            self.configuration = HollowConfiguration(
-                plan, member, loop, self.edge, self.fleet.agreed, boot, in_force
-            )
+        if self.fleet.distribution is not None:
+            self.configuration = HollowConfiguration(self.fleet.distribution, loop, in_force)
         self._charge_receivers()
         self._watch_changes()
         self.look_at_living()
@@ -119,7 +116,7 @@
             edge.on_agreed = self._divided(charged(LOG, edge.on_agreed))
 
     def _divided(self, to_log: Callable[[bytes], None]) -> Callable[[bytes], None]:
-        """The log and the configuration share their connections."""
+        """The log and the configuration share their connections; ``to_log`` tells them apart itself."""
         configuration = self.configuration
         if configuration is None:
             return to_log
@@ -127,7 +124,7 @@
         def received(data: bytes) -> None:
             if configuration.owns(data):
                 with self.loop.meter.charged(CONFIGURATION):
-                    configuration.receive(data)
+                    to_log(data)
             else:
                 to_log(data)
 
@@ -205,8 +202,6 @@
     def end(self, leaves: bool) -> None:
         """End without a word, or in good order."""
         self._closed = True
-        if self.configuration is not None:
-            self.configuration.close()
         if self.fleet.shared is not None:
             self.fleet.shared.close()
         if not leaves:
--- a/benchmarks/capacity/scale/meter.py
+++ b/benchmarks/capacity/scale/meter.py
@@ -12,6 +12,7 @@
 from types import TracebackType
 
 from quincepath.fleet.agreed import Agreed
+from quincepath.fleet.distribution import Distribution
 from quincepath.fleet.edge import Edge
 from quincepath.fleet.service import Fleet
 from quincepath.fleet.shared import Shared
@@ -22,7 +23,13 @@
 CONNECTIONS = "connections"  # reading, dialling and accepting, for the view's exchanges and the log
 LOAD = "load"  # counts of queries that a hollow broker makes up
 HARNESS = "harness"  # the run's own work
-_OWNERS: tuple[tuple[type, str], ...] = ((Edge, VIEW), (Shared, LEDGER), (Agreed, LOG), (Fleet, METRICS))
+_OWNERS: tuple[tuple[type, str], ...] = (
+    (Edge, VIEW),
+    (Shared, LEDGER),
+    (Agreed, LOG),
+    (Distribution, CONFIGURATION),
+    (Fleet, METRICS),
+)
 TICK = 50_000_000  # ns between looks at the loop's lateness
 SAMPLES_MOST = 40_000  # ticks that are kept: over half an hour
 
--- a/benchmarks/capacity/scale/plan.py
+++ b/benchmarks/capacity/scale/plan.py
@@ -1,6 +1,7 @@
 """What one run consists of: members, addresses, zones, and which process runs which member. Pure."""
 
 import math
+from collections.abc import Sequence
 from enum import StrEnum
 from typing import Any
 
@@ -126,8 +127,8 @@
     return values
 
 
-def fleet_values(plan: Plan, member: MemberPlan) -> dict[str, Any]:
-    """The ``fleet:`` section of one member as plain values, without its peers."""
+def fleet_values(plan: Plan, member: MemberPlan, relays: Sequence[MemberPlan]) -> dict[str, Any]:
+    """The ``fleet:`` section of one member as plain values, without its peers. ``relays``: the plan's."""
     values: dict[str, Any] = {
         "name": FLEET,
         "member": member.name,
@@ -143,6 +144,9 @@
         values["keepers"] = list(plan.voters)
     if member.name in plan.voters:
         values["store"] = f"store-{member.name}"
+    if relays:
+        named = [{"name": relay.name, "region": relay.region} for relay in relays]
+        values["configuration"] = {"region": member.region, "relays": named}
     return values
 
 
@@ -166,7 +170,8 @@
     def __init__(self, plan: Plan) -> None:
         self.plan = plan
         self.config = Config.model_validate(base_document(plan))
-        self._servers = {*plan.voters, *(one.name for one in plan.relays)}
+        self._relays = plan.relays
+        self._servers = {*plan.voters, *(one.name for one in self._relays)}
         self.peers = [PeerEntry(name=one.name, address=f"{one.host}:{PORT}") for one in plan.members]
 
     def broker(self, member: MemberPlan) -> Config:
@@ -176,8 +181,8 @@
 
     def fleet(self, member: MemberPlan) -> FleetEntry:
         """The ``fleet:`` section of one broker."""
-        values = fleet_values(self.plan, member)
-        needed = {*values["join"], *values.get("keepers", ())}
+        values = fleet_values(self.plan, member, self._relays)
+        needed = {*values["join"], *values.get("keepers", ()), *(relay.name for relay in self._relays)}
         few = [peer for peer in self.peers if peer.name in needed]
         entry = FleetEntry.model_validate({**values, "peers": [peer.model_dump() for peer in few]})
         return entry.model_copy(update={"peers": self._known_to(member)})
--- a/benchmarks/capacity/scale/real.py
+++ b/benchmarks/capacity/scale/real.py
@@ -138,7 +138,7 @@
     def _document(self, member: MemberPlan) -> dict[str, Any]:
         values = base_document(self.plan, self._cluster.entries(set()))
         values["broker"].update(number=member.number, zone=member.zone, seed=self.plan.seed + member.number)
-        values["fleet"] = fleet_values(self.plan, member)
+        values["fleet"] = fleet_values(self.plan, member, self.plan.relays)
         values["fleet"]["peers"] = [
             {"name": other.name, "address": self._address(member, other)} for other in self.plan.members
         ]
