--- a/benchmarks/capacity/scale/calm.py
+++ b/benchmarks/capacity/scale/calm.py
@@ -70,5 +70,7 @@
                 result.by_mechanism[name].memory_bytes = max(known, size)
         for cause, count in one.dropped.items():
             result.dropped[cause] = result.dropped.get(cause, 0) + count
+    if Mechanism.VIEW not in result.mechanisms:
+        return
     digests = {digest for one in figures for digest in one.digests}
     result.digests = len(digests | watch.real.digests())
--- a/benchmarks/capacity/scale/hollow.py
+++ b/benchmarks/capacity/scale/hollow.py
@@ -12,7 +12,7 @@
 from benchmarks.capacity.scale.load import Queries
 from benchmarks.capacity.scale.messages import BrokerFigures
 from benchmarks.capacity.scale.meter import CONFIGURATION, LEDGER, LOAD, LOG, VIEW, MeteredLoop
-from benchmarks.capacity.scale.plan import Configurations, MemberPlan, Plan
+from benchmarks.capacity.scale.plan import Configurations, Mechanism, MemberPlan, Plan
 from benchmarks.capacity.scale.traffic import figures_of
 from quincepath.broker.service.fleet import open_keepers_store
 from quincepath.fleet.edge import Edge
@@ -50,6 +50,13 @@
             way.stream.close()
 
 
+class SilentViewEdge(HollowEdge):
+    """For a run without the view: it is never asked, so that it neither speaks nor hears."""
+
+    def step(self, inputs: list[Input]) -> None:
+        pass
+
+
 class HollowBroker:
     """``knows_living_at`` and ``knows_drained_at``: when it came to know what is expected; 0: it does not."""
 
@@ -80,7 +87,7 @@
             CollectorRegistry(),
             Path(plan.folder),
             open_keepers_store,
-            HollowEdge,
+            HollowEdge if Mechanism.VIEW in plan.mechanisms else SilentViewEdge,
         )
         self.configuration: HollowConfiguration | None = None
         if self.fleet.distribution is not None:
