Orders and values nested beyond the decoder's depth are refused; the end of a way is told, by a test

A body with 90,000 nested lists, or a value of 4,096 bytes that is nothing but nested lists, made the decoder raise RecursionError, which nobody caught: one order over HTTP would have ended a broker, one change in a command the leader. Both are refused now like any other value that is no map; `shown` gives such a value by its size. Found by trying bodies that are no order. Tests: eight bad bodies against a broker in virtual time, one such value against the schema, and over real sockets that the edge tells of a member that refuses a connection and of one whose connection ends.

--- a/quincepath/fleet/configuration/orders.py
+++ b/quincepath/fleet/configuration/orders.py
@@ -66,7 +66,7 @@
 def _read(body: bytes, form: type[Form]) -> Form:
     try:
         return msgspec.json.decode(body, type=form)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         text, _, path = str(error).partition(" - at ")
         raise ChangeError(
             [Fault(path.strip("`") or "order", f"{len(body)} bytes", text.removeprefix("Expected "))]
@@ -100,7 +100,7 @@
         raise ChangeError([Fault("set", "nothing", "at least one resource in set or remove")])
     try:
         found: dict[str, bytes | None] = {name: encode_resource(one) for name, one in order.set.items()}
-    except (OverflowError, TypeError) as error:
+    except (OverflowError, TypeError, RecursionError) as error:
         raise ChangeError([Fault("set", str(error), "values as in a configuration file")]) from None
     return found | dict.fromkeys(order.remove)
 
--- a/quincepath/fleet/configuration/resources.py
+++ b/quincepath/fleet/configuration/resources.py
@@ -62,7 +62,7 @@
         raise ChangeError([Fault(name, f"{len(value)} bytes", f"at most {VALUE_BYTES_MOST}", name)])
     try:
         entry = msgspec.msgpack.decode(value, type=dict[str, Any])
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise ChangeError([Fault(name, f"{len(value)} bytes", f"a msgpack map: {error}", name)]) from None
     try:
         found = model.model_validate(entry)
@@ -106,5 +106,5 @@
         return "absent"
     try:
         return repr(msgspec.msgpack.decode(value))[:SHOWN_VALUE_MOST]
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
         return f"{len(value)} bytes that are no msgpack"
--- a/tests/fleet/configuration/test_resources.py
+++ b/tests/fleet/configuration/test_resources.py
@@ -4,7 +4,7 @@
 import pytest
 
 from quincepath.fleet.configuration.changes import ChangeError, Edit
-from quincepath.fleet.configuration.resources import decode_resource, encode_resource
+from quincepath.fleet.configuration.resources import decode_resource, encode_resource, shown
 from quincepath.fleet.configuration.table import ResourceTable, Rules, difference, merged
 from tests.fleet.configuration.made import node, query_class, tenant, weights
 
@@ -149,3 +149,9 @@
 def test_a_value_of_another_version_breaks_the_table() -> None:
     held = ResourceTable({"node/new": msgspec.msgpack.encode({"address": 5})})
     assert held.values and not held.faults([put("a", 1, held)])
+
+
+def test_a_value_nested_as_deep_as_its_bytes_allow_ends_the_reader() -> None:
+    deep = b"\x81\xa1x" + b"\x91" * 4000 + b"\x90"
+    assert "a msgpack map" in refused("node/x", deep)[0]
+    assert shown(deep) == f"{len(deep)} bytes that are no msgpack"
--- a/tests/fleet/distribution/inside.py
+++ b/tests/fleet/distribution/inside.py
@@ -183,8 +183,16 @@
         """An order; it is answered later."""
         return self._begin(name, "POST", what, order)
 
+    def raw(self, name: str, what: str, body: bytes) -> Answered:
+        """An order as it may come from anybody."""
+        asked = self._send(name, "POST", what, body)
+        self.until(lambda: bool(asked.status))
+        return asked
+
     def _begin(self, name: str, method: str, path: str, order: dict[str, Any] | None) -> Answered:
-        body = b"" if order is None else json.dumps(order).encode()
+        return self._send(name, method, path, b"" if order is None else json.dumps(order).encode())
+
+    def _send(self, name: str, method: str, path: str, body: bytes) -> Answered:
         asked = Answered(method, f"/fleet/config/{path}", body)
         assert self.fleet(name).request(cast(Exchange, asked))
         return asked
--- a/tests/fleet/distribution/test_inside.py
+++ b/tests/fleet/distribution/test_inside.py
@@ -227,6 +227,30 @@
         yield world
 
 
+def with_name(value: bytes) -> bytes:
+    """An order that sets one node, with this JSON as its name."""
+    return b'{"id": "x", "by": "ann", "revision": 3, "set": {"node/x": {"name": ' + value + b"}}}"
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"[]",
+        b'{"id": "x"',
+        b'{"id": "x", "by": "ann", "revision": -1}',
+        with_name(b"[" * 90_000 + b"]" * 90_000),
+        with_name(b"[" * 800 + b"]" * 800),
+        with_name(b"1" + b"0" * 30),
+        with_name(b'"\xff"'),
+    ],
+)
+def test_a_body_that_is_no_order_ends_the_broker(body: bytes, fleet: InsideFleet) -> None:
+    for what in ("propose", "rollback"):
+        answer = fleet.raw("m7", what, body)
+        assert answer.status in (400, 409) and "expected" in answer.content["error"], answer.content
+
+
 def test_wrong_paths_and_rollbacks_are_not_explained(fleet: InsideFleet) -> None:
     lost = fleet.ask("m7", "GET", "history")
     assert lost.status == 404 and "'history': expected GET status, show" in lost.content["error"]
--- a/tests/test_fleet_edge.py
+++ b/tests/test_fleet_edge.py
@@ -118,6 +118,25 @@
     pair.until(lambda: pair.agreed[-1] == b"last")
 
 
+def test_a_member_that_cannot_be_reached_or_whose_connection_ends_is_not_told_of(pair: Pair) -> None:
+    one = pair.start("b0")
+    lost: list[str] = []
+    one.on_way_lost = lost.append
+    one.tell("b1", b"x")
+    pair.until(lambda: lost == ["b1"])  # refused
+    two = pair.start("b1")
+
+    def arrived() -> bool:
+        one.tell("b1", b"y")
+        return b"y" in pair.agreed
+
+    pair.until(arrived)
+    lost.clear()
+    two.close()
+    pair.until(lambda: "b1" in lost)  # without a word to it
+    del pair.edges["b1"]
+
+
 def test_one_whose_datagrams_are_lost_is_asked_on_a_line_and_suspected_only_once_it_has_ended(
     pair: Pair,
 ) -> None:
