A follower leaves a keeper that knows no leader; a keeper counts what its own broker has as known

Two faults, one found by a test over processes that failed once in four runs. A keeper whose log had not yet applied revision 3 answered status by revision 2 and called that everywhere, though its own broker had 3 in force: the newest is now the newest of its log, its broker, its relay and all summaries.

The other one was found while a test for the first was made: a follower of the log asks one keeper and goes to the next only when that one is silent. A keeper that is cut off from its leader answers, with nothing new: a relay that asked it stayed behind for as long as the cut lasted. An answer without a leader and without entries is no word now, so that another keeper is asked after 1.5 s.

The new test fails without either change and passes with both; 47 passed in tests/fleet/distribution/test_inside.py.

--- a/quincepath/cli/configuration.py
+++ b/quincepath/cli/configuration.py
@@ -58,12 +58,13 @@
 
 
 @configuration.command()
+@click.option("--revision", default=0, help="Wait for this one: a keeper may not know of it yet.")
 @AT
 @JSON
-def status(at: str, as_json: bool) -> None:
+def status(revision: int, at: str, as_json: bool) -> None:
     """How many brokers are at which revision, who is behind since when, who refuses, and why.
 
-    Ask a keeper. Exit status 3 while the newest revision is not in force everywhere.
+    Ask a keeper. Exit status 3 while the newest revision, or that of --revision, is not in force everywhere.
     """
     page = ask(at, "/fleet/config/status")
     if as_json:
@@ -75,7 +76,8 @@
     if page["everywhere"] is None:
         click.echo(f"{page['member']} is no keeper; of the fleet know {', '.join(page['keepers'])}", err=True)
         sys.exit(1)
-    sys.exit(0 if page["everywhere"] else NOT_EVERYWHERE)
+    done = page["everywhere"] and page["fleet"]["newest"] >= revision
+    sys.exit(0 if done else NOT_EVERYWHERE)
 
 
 def _own_line(member: str, own: dict[str, Any]) -> str:
--- a/quincepath/fleet/agreed.py
+++ b/quincepath/fleet/agreed.py
@@ -199,12 +199,7 @@
             case Answer():
                 self._answered(body)
             case Followed() | Whole():
-                self._heard_at = self.loop.clock()
-                if self.keeper is None:
-                    applied = self.follower.hear(self.loop.clock(), body)
-                    self._confirm(body)
-                    if applied:
-                        self._after()
+                self._hear(body)
             case Request(id, data_):
                 if self.leads:
                     data_, why = self._judged(data_)
@@ -216,9 +211,19 @@
             case _:
                 self._step([Came(post.sender, post.epoch, body)])
 
-    def _confirm(self, told: Followed | Whole) -> None:
+    def _hear(self, told: Followed | Whole) -> None:
+        """News for one that follows. A keeper that knows no leader has none: another one is asked in time."""
+        now = self.loop.clock()
+        knows = isinstance(told, Whole) or bool(told.leader or told.entries)
+        if knows:
+            self._heard_at = now
+        if self.keeper is not None:
+            return
+        applied = self.follower.hear(now, told)
         if isinstance(told, Followed) and told.leader and self.follower.applied >= told.commit:
-            self._confirmed_at = self.loop.clock()
+            self._confirmed_at = now
+        if applied:
+            self._after()
 
     def age(self) -> int:
         """ns since the newest entry here was known to be the newest: by the leader, or by who heard it."""
--- a/quincepath/fleet/distribution.py
+++ b/quincepath/fleet/distribution.py
@@ -236,7 +236,11 @@
     def fleet_status(self) -> FleetStatus:
         """The sums of all relays' summaries; of use on a keeper only."""
         now = self.loop.clock()
-        newest = max([self.ports.history().revision, *(one.newest for _, one in self.sums.heard.values())])
+        subscriber = self.subscriber
+        told = [summary.newest for _, summary in self.sums.heard.values()]
+        # This keeper's log may be behind what its own broker already has in force.
+        here = (self.ports.history().revision, subscriber.applier.revision, subscriber.chooser.newest)
+        newest = max([*here, *told])
         return self.sums.status(newest, self.ports.expected(), now)
 
     def status_page(self) -> dict[str, Any]:
--- a/tests/fleet/distribution/test_inside.py
+++ b/tests/fleet/distribution/test_inside.py
@@ -291,6 +291,19 @@
         assert elsewhere["own"]["revision"] == 2
 
 
+def test_a_keeper_whose_log_is_behind_calls_an_old_revision_the_newest(tmp_path: Path) -> None:
+    with running(tmp_path) as world:
+        begun(world)
+        behind = next(name for name in KEEPERS if name != world.leader)
+        world.until(lambda: world.ask(behind, "GET", "status").content["everywhere"])
+        world.log_cut |= {(keeper, behind) for keeper in KEEPERS}
+        world.propose("m5", "second", 1, remove=["node/a1"])
+        world.until(lambda: world.revision(behind) == 2, IN_FORCE)
+        assert world.agreed(behind).machine.configuration.revision == 1
+        page = world.ask(behind, "GET", "status").content
+        assert not page["everywhere"] and page["fleet"]["newest"] == 2
+
+
 def test_a_revision_that_one_broker_cannot_apply_is_half_applied_or_not_told(tmp_path: Path) -> None:
     with running(tmp_path) as world:
         begun(world)
--- a/tests/fleet/distribution/test_processes.py
+++ b/tests/fleet/distribution/test_processes.py
@@ -100,10 +100,11 @@
         assert world.config("propose", str(shown), *ways) == (0, "propose: committed as revision 2\n")
         code, said = world.config("propose", str(shown), "--at", world.metrics["m6"])
         assert code == 1 and "node/a1: changed after revision 1; expected untouched" in said
-        until(lambda: world.config("status", "--at", at)[0] == 0)
+        until(lambda: world.config("status", "--revision", "2", "--at", at)[0] == 0)
         code, said = world.config("status", "--at", at)
         assert "revision 2: in force at 8 of 8 brokers, 0 behind, 0 refuse, 0 at no relay" in said
         assert "relay m3: revision 2" in said and f"m0: revision 2, relay {world.own('m0')['relay']}," in said
+        assert world.config("status", "--revision", "3", "--at", at)[0] == 3  # nobody knows of it
         code, said = world.config("status", "--at", world.metrics["m5"])
         assert code == 1 and "m5 is no keeper; of the fleet know m0, m1, m2" in said
         assert world.config("rollback", "2", "--at", at) == (0, "rollback: committed as revision 3\n")
