A member that relays stands in the region that the list of relays says

The section names a member's region and, for relays, each one's: a member that is a relay could say two things, and followed the relay of another region then. It is refused now, with both regions. The tests' own files had this fault: it is why relays in the processes' tests followed each other, and why one assertion came too early in one run of eight (a relay's own broker had the revision and had not chosen its next relay yet). That assertion waits for the event now, as the others do; both mended in the new tests only.

--- a/quincepath/config/schema/fleet.py
+++ b/quincepath/config/schema/fleet.py
@@ -134,3 +134,7 @@
             raise ValueError(
                 f"configuration.relays: {unknown[0]!r} is neither this member nor one of the peers"
             )
+        own = [relay.region for relay in entry.relays if relay.name == self.member]
+        if own and own[0] != entry.region:
+            expected = f"{own[0]!r}, as relays says of {self.member!r}"
+            raise ValueError(f"configuration.region: {entry.region!r}; expected {expected}")
--- a/tests/fleet/distribution/inside.py
+++ b/tests/fleet/distribution/inside.py
@@ -34,6 +34,11 @@
     return {"name": name, "url": url, "shards": SHARDS[replica_set], **more}
 
 
+def region_of(name: str) -> str:
+    """Of a member: the relays' own, and the others by turns."""
+    return dict(zip(RELAYS, REGIONS, strict=True)).get(name, REGIONS[int(name[1:]) % 2])
+
+
 def whole_list() -> dict[str, Any]:
     """Two nodes of each replica set, by resource name."""
     found = {}
@@ -88,7 +93,7 @@
         values["tenants"] = [{"name": "desk", "weight": 5}]
         values["fleet"] = {
             "name": "orchard", "member": name, "port": 7000 + number, "peers": peers, "keepers": KEEPERS,
-            "configuration": {"region": REGIONS[number % 2], "relays": relays},
+            "configuration": {"region": region_of(name), "relays": relays},
         }  # fmt: skip
         if name in KEEPERS:
             values["fleet"]["store"] = f"store-{name}"
--- a/tests/fleet/distribution/processes.py
+++ b/tests/fleet/distribution/processes.py
@@ -20,11 +20,16 @@
 
 MEMBERS = [f"m{number}" for number in range(8)]
 KEEPERS = MEMBERS[:3]
-EAST, WEST = "m3", "m4"  # the relays; brokers of even numbers stand in the east
+EAST, WEST = "m3", "m4"  # the relays
 QUERY_TIME = 10.0  # seconds
 Injected = dict[str, tuple[str, Path]]
 
 
+def region_of(name: str) -> str:
+    """Of a member: the relays' own, and the others by turns."""
+    return {EAST: "east", WEST: "west"}.get(name, "west" if int(name[1:]) % 2 else "east")
+
+
 class ProcessFleet:
     """``injected``: by member, a fault and its file (quincepath/lab/fleet/injected.py)."""
 
@@ -56,7 +61,7 @@
     def _write(self, number: int, name: str, port: int, peers: list[dict[str, str]]) -> None:
         values = demo_config(0, holders=self.cluster.entries(set()))
         values["broker"] = {"number": number, "brokers": len(MEMBERS), "zone": "upper"}
-        region = "west" if number % 2 else "east"
+        region = region_of(name)
         relays = [{"name": EAST, "region": "east"}, {"name": WEST, "region": "west"}]
         values["fleet"] = {
             "name": "orchard", "member": name, "port": port, "peers": peers, "keepers": KEEPERS,
--- a/tests/fleet/distribution/test_inside.py
+++ b/tests/fleet/distribution/test_inside.py
@@ -11,6 +11,7 @@
     RELAYS,
     InsideFleet,
     node,
+    region_of,
     running,
     whole_list,
 )
@@ -422,20 +423,20 @@
 def test_a_region_that_is_cut_off_changes_something_or_stays_behind(tmp_path: Path) -> None:
     with running(tmp_path) as world:
         begun(world)
-        inside = [name for name in world.names if name not in KEEPERS and int(name[1:]) % 2 == 0]
+        inside = [name for name in world.names if name not in KEEPERS and region_of(name) == "west"]
         outside = [name for name in world.names if name not in inside]
-        assert "m4" in inside and "m3" in outside
+        assert inside == ["m4", "m5", "m7"]
         world.cut_off(inside, outside)
-        world.propose("m5", "second", 1, remove=["node/a1"])
+        world.propose("m6", "second", 1, remove=["node/a1"])
         world.until(lambda: all(world.revision(name) == 2 for name in outside), IN_FORCE)
-        alone = world.propose("m6", "alone", 1, remove=["node/b1"])
+        alone = world.propose("m7", "alone", 1, remove=["node/b1"])
         assert alone.status == 409 and "not known to be done" in alone.content["error"]
         world.rest(10)
         assert all(world.revision(name) == 1 and world.nodes(name) == ALL_NODES for name in inside)
-        assert world.subscriber("m6").status(world.loop.clock()).age_ms > 10_000
-        world.kill("m6")
-        world.start("m6")
-        world.until(lambda: world.nodes("m6") == ALL_NODES, IN_FORCE)  # from the relay inside
+        assert world.subscriber("m7").status(world.loop.clock()).age_ms > 10_000
+        world.kill("m7")
+        world.start("m7")
+        world.until(lambda: world.nodes("m7") == ALL_NODES, IN_FORCE)  # from the relay inside
         world.cut.clear()
         world.until_all_at(2, IN_FORCE)
         assert all(world.nodes(name) == ALL_NODES - {"a1"} for name in world.names)
--- a/tests/fleet/distribution/test_processes.py
+++ b/tests/fleet/distribution/test_processes.py
@@ -49,7 +49,7 @@
         alive = [name for name in MEMBERS if name != EAST]
         world.until(lambda: all(world.own(name)["revision"] == 3 for name in alive), *BROKERS)
         assert fell.exists()
-        assert {world.own(name)["relay"] for name in alive} == {WEST}
+        world.until(lambda: {world.own(name)["relay"] for name in alive} == {WEST}, *BROKERS)
         assert world.config("status", "--at", world.metrics["m0"])[0] == 3  # one broker is nowhere
         world.start_again(EAST)
         world.until(lambda: world.config("status", "--at", world.metrics["m0"])[0] == 0, *BROKERS)
@@ -65,7 +65,7 @@
         assert world.propose("m7", "out", 1, remove=["node/a1"])[0] == 0
         others = [name for name in MEMBERS if name != EAST]
         world.until(lambda: all(world.own(name)["revision"] == 2 for name in others), *BROKERS)
-        assert {world.own(name)["relay"] for name in others} == {WEST}
+        world.until(lambda: {world.own(name)["relay"] for name in others} == {WEST}, *BROKERS)
         code, said = world.config("status", "--at", world.metrics["m0"])
         assert code == 3 and "revision 2: in force at" in said
         world.children[EAST].signal(signal.SIGCONT)
--- a/tests/fleet/distribution/test_schema.py
+++ b/tests/fleet/distribution/test_schema.py
@@ -17,7 +17,7 @@
     region: east
     relays:
       - {name: b1, region: east}
-      - {name: b0, region: west}
+      - {name: b0, region: east}
 """
 
 
@@ -30,12 +30,13 @@
 @pytest.mark.parametrize(
     ("old", "new", "said"),
     [
-        ("name: b0, region: west", "name: b1, region: west", "relays: 'b1' stands twice"),
-        ("name: b0, region: west", "name: b7, region: west", "configuration.relays: 'b7' is neither"),
-        ("name: b0, region: west", "name: b0", "relays[1].region: missing"),
-        ("name: b0, region: west", "name: 'b 0', region: west", "relays[1].name is 'b 0'"),
+        ("name: b0, region: east", "name: b1, region: east", "relays: 'b1' stands twice"),
+        ("name: b0, region: east", "name: b7, region: west", "configuration.relays: 'b7' is neither"),
+        ("name: b0, region: east", "name: b0", "relays[1].region: missing"),
+        ("name: b0, region: east", "name: 'b 0', region: west", "relays[1].name is 'b 0'"),
         ("    region: east\n", "", "fleet.configuration.region: missing"),
         ("    region: east\n", "    region: east\n    voters: 3\n", "configuration.voters is 3: unknown key"),
+        ("name: b0, region: east", "name: b0, region: west", "region: 'east'; expected 'west', as relays"),
         (KEEPERS, "", "configuration: expected keepers beside it"),
     ],
 )
