--- a/benchmarks/capacity/scale/hollow.py
+++ b/benchmarks/capacity/scale/hollow.py
@@ -29,6 +29,7 @@
     """The edge of a hollow broker: its view's work is charged to the view, and links may fail."""
 
     def step(self, inputs: list[Input]) -> None:
+        """One step of the view, charged to it."""
         assert isinstance(self.loop, MeteredLoop)
         with self.loop.meter.charged(VIEW):
             super().step(inputs)
@@ -54,6 +55,7 @@
     """For a run without the view: it is never asked, so that it neither speaks nor hears."""
 
     def step(self, inputs: list[Input]) -> None:
+        """No step: what came is dropped."""
         pass
 
 
--- a/benchmarks/capacity/scale/meter.py
+++ b/benchmarks/capacity/scale/meter.py
@@ -84,6 +84,7 @@
         self.meter = Meter()
 
     def call_at(self, at: int, call: Callable[[], None]) -> Timer:
+        """As ``Loop.call_at``; the call is charged to the account of its owner."""
         meter, account = self.meter, account_of(call)
 
         def metered() -> None:
@@ -96,6 +97,7 @@
         return super().call_at(at, metered)
 
     def watch(self, sock: socket.socket, mask: int, call: Callable[[int], None]) -> None:
+        """As ``Loop.watch``; the call is charged to the account of its owner."""
         meter, account = self.meter, account_of(call)
 
         def metered(ready: int) -> None:
--- a/quincepath/cli/fleet.py
+++ b/quincepath/cli/fleet.py
@@ -78,6 +78,7 @@
 
 
 def table(title: str, columns: list[str], rows: list[list[Any]]) -> None:
+    """Print a table; an absent value is an empty cell."""
     table = Table(title=title)
     for column in columns:
         table.add_column(column, overflow="fold")
--- a/quincepath/fleet/adoption/commands.py
+++ b/quincepath/fleet/adoption/commands.py
@@ -35,9 +35,11 @@
 
     @classmethod
     def of(cls, version: MapVersion) -> "Map":
+        """The map of a version, without its number."""
         return cls(version.label, version.entries, version.unlabelled_anywhere)
 
     def version(self, number: int) -> MapVersion:
+        """This map under a number."""
         return MapVersion(number, self.label, self.entries, self.unlabelled_anywhere)
 
 
--- a/quincepath/fleet/adoption/gathering.py
+++ b/quincepath/fleet/adoption/gathering.py
@@ -51,6 +51,7 @@
         return True
 
     def fresh(self, now: int) -> dict[str, MapReport]:
+        """Reports, by broker, that came at most ``FRESH`` ago."""
         return {name: report for name, (at, report) in self.reports.items() if now <= at + FRESH}
 
     def staged(self, number: int, digest: str, now: int) -> tuple[str, ...]:
--- a/quincepath/fleet/adoption/state.py
+++ b/quincepath/fleet/adoption/state.py
@@ -50,6 +50,7 @@
 
     @property
     def until(self) -> int:
+        """End of the time, in the unit of ``since``."""
         return self.since + self.span
 
 
@@ -69,6 +70,7 @@
 
     @property
     def step(self) -> Step:
+        """How far the adoption of a map is."""
         if self.proposal is not None:
             return Step.STAGING if self.proposal.staging else Step.PROPOSED
         if self.halted:
--- a/quincepath/fleet/agreement/core/ports.py
+++ b/quincepath/fleet/agreement/core/ports.py
@@ -23,11 +23,14 @@
 class Machine(Protocol):
     """What the log means. Pure: the same entries, the same state."""
 
-    def apply(self, entry: Entry) -> None: ...
+    def apply(self, entry: Entry) -> None:
+        """Take in one committed entry."""
 
-    def dump(self) -> bytes: ...
+    def dump(self) -> bytes:
+        """All state, for a snapshot."""
 
-    def load(self, data: bytes) -> None: ...
+    def load(self, data: bytes) -> None:
+        """State from a snapshot; empty data is the beginning."""
 
 
 # --- inputs ---
--- a/quincepath/fleet/forecast/footprints.py
+++ b/quincepath/fleet/forecast/footprints.py
@@ -126,10 +126,12 @@
 
     @property
     def since(self) -> int:
+        """Beginning of the earliest source's time; 0 without sources."""
         return min((source.since for source in self.sources.values()), default=0)
 
     @property
     def until(self) -> int:
+        """End of the latest source's time; 0 without sources."""
         return max((source.until for source in self.sources.values()), default=0)
 
     def hours(self) -> list[float]:
--- a/quincepath/fleet/forecast/replay.py
+++ b/quincepath/fleet/forecast/replay.py
@@ -131,6 +131,7 @@
         return np.asarray(self._stretched(value)[:, 0])
 
     def servers(self, sets: Sequence[str], holders: Mapping[str, int]) -> Array:
+        """Slots of each replica set: its nodes, at least one, times the slots of a node."""
         every = [max(1, holders.get(name, self.world.holders_else)) for name in sets]
         return np.array(every, dtype=np.float64) * self.world.slots
 
--- a/quincepath/fleet/forecast/verdict.py
+++ b/quincepath/fleet/forecast/verdict.py
@@ -12,6 +12,8 @@
 
 
 class Answer(StrEnum):
+    """What the forecast says of a map."""
+
     ACCEPT = "accept"
     REFUSE = "refuse"
     NOT_KNOWN = "not known"
@@ -32,6 +34,7 @@
             raise ValueError(f"limit of {self.kind} {self.where!r}: {self.most}; expected above 0")
 
     def covers(self, place: Where) -> bool:
+        """Whether the limit is for figures of this kind and place."""
         kind, where = place
         whole = self.kind in (Kind.BYTES, Kind.MISS) or self.where != ""
         return kind == self.kind and (where == self.where if whole else True)
--- a/quincepath/fleet/messages.py
+++ b/quincepath/fleet/messages.py
@@ -139,13 +139,20 @@
     """What stands around any message between brokers."""
 
     @property
-    def schema(self) -> int: ...
+    def schema(self) -> int:
+        """Schema that the speaker writes."""
+
     @property
-    def least(self) -> int: ...
+    def least(self) -> int:
+        """Oldest schema that may read it."""
+
     @property
-    def fleet(self) -> str: ...
+    def fleet(self) -> str:
+        """Name of the fleet."""
+
     @property
-    def to(self) -> str: ...
+    def to(self) -> str:
+        """Name of the member that it is for."""
 
 
 Outer = TypeVar("Outer", bound=Around)
--- a/quincepath/fleet/topology.py
+++ b/quincepath/fleet/topology.py
@@ -92,6 +92,7 @@
 
     @property
     def topology(self) -> Topology:
+        """The state that the log has come to."""
         return self.machine.state.topology
 
     # --- the leader ---
--- a/quincepath/lab/emulator/world/actors.py
+++ b/quincepath/lab/emulator/world/actors.py
@@ -67,6 +67,7 @@
     served: bool = False
 
     def name(self) -> str:
+        """Of this try, for recordings."""
         return f"c{self.number}.{self.tries}"
 
 
--- a/quincepath/limits/fair/core.py
+++ b/quincepath/limits/fair/core.py
@@ -61,12 +61,15 @@
         self._now = 0
 
     def new_pool(self) -> Pool:
+        """The slots; a test may plant another."""
         return Pool(self.settings)
 
     def new_tags(self) -> Tags:
+        """The order of tenants; a test may plant another."""
         return Tags(self.settings, self.queues)
 
     def new_runs(self) -> Runs:
+        """The running queries; a test may plant another."""
         return Runs(self.settings, self.pool, self.queues, self.tags, self._learn)
 
     def set_weight(self, tenant: str, weight: float | None) -> None:
--- a/quincepath/limits/fair/queues.py
+++ b/quincepath/limits/fair/queues.py
@@ -66,9 +66,11 @@
         return min(heads, key=lambda one: one.order, default=None)
 
     def newest(self) -> Waiting:
+        """The query that came last, of all lanes; at least one waits."""
         return max((next(reversed(lane.values())) for lane in self.lanes if lane), key=lambda one: one.order)
 
     def idle(self) -> bool:
+        """Whether none waits and none runs."""
         return not self.waiting and not self.running
 
 
@@ -135,6 +137,7 @@
         return longest.newest()
 
     def add(self, queue: Queue, one: Waiting) -> None:
+        """Put a query at the end of its lane."""
         queue.lanes[one.lane][one.number] = one
         queue.waiting += 1
         queue.queued += one.guess.mean
--- a/quincepath/limits/fair/running.py
+++ b/quincepath/limits/fair/running.py
@@ -94,6 +94,7 @@
             self._tell(run, run.used)
 
     def freed(self, now: int, number: int, parts: int) -> None:
+        """So many parts of a running query have ended."""
         run = self.all.get(number)
         if run is not None and parts > 0:
             self._use(now, run)
--- a/quincepath/limits/fair/slots.py
+++ b/quincepath/limits/fair/slots.py
@@ -99,6 +99,7 @@
     # --- what is held ---
 
     def take(self, now: int, held: Held) -> None:
+        """A query takes the slots that it holds."""
         self._add(held, held.seats)
         self._note(now)
 
--- a/quincepath/limits/fair/turns.py
+++ b/quincepath/limits/fair/turns.py
@@ -77,6 +77,7 @@
         queue.tag += int(cost / queue.weight)
 
     def ends(self, queue: Queue, put_right: int) -> None:
+        """A query has ended; ``put_right``: what its charge was off by."""
         queue.running -= 1
         self.charge(queue, put_right)
 
--- a/quincepath/net/http1.py
+++ b/quincepath/net/http1.py
@@ -73,6 +73,7 @@
         raise self.error
 
     def on_message_begin(self) -> None:
+        """Called by the parser: a message begins."""
         self._reset()
         self._unheard = 0
         self.busy = True
@@ -86,6 +87,7 @@
         self._headers[key] = f"{self._headers[key]}, {text}" if key in self._headers else text
 
     def on_headers_complete(self) -> None:
+        """Called by the parser: all headers are in."""
         length = self._headers.get("content-length", "0")
         # Whatever the parser lets pass: a body framed in two ways may hide another request.
         if "transfer-encoding" in self._headers and "content-length" in self._headers:
@@ -132,20 +134,24 @@
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
 
     def on_url(self, url: bytes) -> None:
+        """Called by the parser: a piece of the target."""
         self._unheard = 0
         self._target += url
         if len(self._target) > self.limits.headers:
             self._fail(414, f"a target of more than {self.limits.headers} bytes")
 
     def on_message_begin(self) -> None:
+        """Called by the parser: a message begins."""
         self._target = b""
         super().on_message_begin()
 
     def on_headers_complete(self) -> None:
+        """Called by the parser: all headers are in."""
         super().on_headers_complete()
         self.wants_continue = self._headers.get("expect", "").lower() == "100-continue"
 
     def on_message_complete(self) -> None:
+        """Called by the parser: the message is whole."""
         assert self._parser is not None
         self.busy = self.wants_continue = False
         self.done.append(
@@ -192,16 +198,19 @@
         self._parser = httptools.HttpResponseParser(self)
 
     def on_message_begin(self) -> None:
+        """Called by the parser: a message begins."""
         super().on_message_begin()
         self._until_end, self._more = False, self.done is not None
 
     def on_headers_complete(self) -> None:
+        """Called by the parser: all headers are in."""
         super().on_headers_complete()
         status = self._parser.get_status_code()
         framed = "content-length" in self._headers or "transfer-encoding" in self._headers
         self._until_end = not framed and status >= 200 and status not in (204, 304)
 
     def on_message_complete(self) -> None:
+        """Called by the parser: the message is whole."""
         self.busy = False
         if self.done is None and self._parser.get_status_code() >= 200:  # an interim answer is not the answer
             self.done = self._response(self._parser.should_keep_alive())
--- a/quincepath/settings.py
+++ b/quincepath/settings.py
@@ -46,6 +46,7 @@
         self.values = dict(line.partition("=")[::2] for line in text.splitlines() if "=" in line)
 
     def get(self, path: str, read: Callable[[str], T], default: T | None = None) -> T:
+        """One setting; raises ``SettingsError`` where it is missing without a default, or cannot be read."""
         text = self.values.get(path)
         if text is None:
             if default is None:
@@ -59,6 +60,7 @@
             ) from None
 
     def item(self, path: str, index: int, default: float | None = None) -> float:
+        """One number of a list of numbers."""
         fallback: tuple[float, ...] | None = None if default is None else ()
         values = self.get(path, _numbers, fallback)
         if index < len(values):
--- a/quincepath/shards/versions.py
+++ b/quincepath/shards/versions.py
@@ -204,6 +204,7 @@
         self._kept[self.current.number] = self.current
 
     def numbers(self) -> tuple[int, ...]:
+        """Of the versions that are kept, ascending."""
         return tuple(sorted(self._kept))
 
     def adopt(self, version: MapVersion) -> bool:
--- a/quincepath/standins/chance.py
+++ b/quincepath/standins/chance.py
@@ -15,6 +15,7 @@
         self._block: list[float] = []
 
     def __call__(self) -> float:
+        """The next number, from 0 up to 1."""
         if not self._block:
             self._block = self.generator.random(BLOCK).tolist()
         return self._block.pop()
