--- a/quincepath/fleet/agreed.py
+++ b/quincepath/fleet/agreed.py
@@ -35,6 +35,7 @@
 from quincepath.fleet.drains import Progress
 from quincepath.fleet.messages import Rejected
 from quincepath.fleet.permits import Command, Permits, encode
+from quincepath.fleet.proposals import Proposal, Proposals
 from quincepath.net.loop import Loop, Timer
 
 if TYPE_CHECKING:
@@ -42,25 +43,12 @@
 
 ASK_EVERY = 500_000_000  # ns between asks of one that follows, reports, and tries of a command
 SILENT = 1_500_000_000  # ns without a word until another keeper is asked
-COMMAND_TIME = 10_000_000_000  # ns until a command is given up, as not known to be done
 OpenStore = Callable[
     [Path, str, str, Stable], Storage
 ]  # in a folder for (fleet, member); Stable: of a new one
-WAITING_MOST = 64  # commands of people at once
 FINAL = "refused: "  # begins the reason of a refusal that no other keeper would give otherwise
 
 
-@dataclass(slots=True)
-class _Waiting:
-    """A command on its way."""
-
-    command: Command
-    done: Callable[[str], None]
-    until: int
-    number: int
-    index: int = 0
-
-
 @dataclass(slots=True)
 class Hooks:
     """What the broker does for it."""
@@ -96,8 +84,7 @@
         self.store: Storage | None = None
         self.keeper: Keeper | None = None
         self.follower = Follower(self.machine, tuple(entry.keepers))
-        self._waiting: dict[int, _Waiting] = {}
-        self._numbers = 0
+        self.proposals = Proposals()
         self._timer: Timer | None = None
         self._closed = False
         self._asked = 0
@@ -252,9 +239,7 @@
                 case Send(to, message):
                     self._send(to, message)
                 case Done(number, index):
-                    waiting = self._waiting.get(number)
-                    if waiting is not None:
-                        waiting.index = index
+                    self.proposals.stands_at(number, index)
                 case Refused(number, why, leader):
                     self._refused(number, why, leader)
                 case _:
@@ -279,8 +264,7 @@
         if self.applied == self._shown:
             return
         self._shown = self.applied
-        for waiting in list(self._waiting.values()):
-            self._look(waiting)
+        self.proposals.settle(self.applied, self.machine.state.results)
         if self.maps is not None:
             self.maps.applied()
         self.hooks.applied()
@@ -304,11 +288,8 @@
             for name in others:
                 self._post(name, Report(self.applied, out))
         self._change_maps(now, others)
-        for waiting in list(self._waiting.values()):
-            if now >= waiting.until:
-                self._end(waiting, "not known to be done: no majority of the keepers answered in time")
-            elif not waiting.index:
-                self._try(waiting)
+        for proposal in self.proposals.overdue(now):
+            self._try(proposal)
 
     def _change_maps(self, now: int, others: list[str]) -> None:
         """Say how far this broker is with a new shard map; propose the next step while it leads."""
@@ -322,20 +303,16 @@
         for data in self.maps.sampled(now, wall, self.leader):
             self._post(self.leader, Sampled(data))
         step = self.maps.next(now, wall) if self.leads else None
-        if step is not None and not any(type(w.command) is type(step) for w in self._waiting.values()):
+        if step is not None and not self.proposals.any_of(type(step)):
             self.command(step, lambda why: self.log.info("fleet: step of a shard map", refused=why))
 
     # --- commands ---
 
     def command(self, command: Command, done: Callable[[str], None]) -> None:
         """Have a command committed; ``done`` gets why not, or nothing where it took effect."""
-        if len(self._waiting) >= WAITING_MOST:
-            done("too many commands wait")
-            return
-        self._numbers += 1
-        waiting = _Waiting(command, done, self.loop.clock() + COMMAND_TIME, self._numbers)
-        self._waiting[waiting.number] = waiting
-        self._try(waiting)
+        proposal = self.proposals.add(self.loop.clock(), command, done)
+        if proposal is not None:
+            self._try(proposal)
 
     def _judged(self, data: bytes) -> tuple[bytes, str]:
         """The leader's word: its own belief and limits go into a grant."""
@@ -354,44 +331,31 @@
         command, why = self.hooks.judge(command)
         return encode(command), f"{FINAL}{why}"[:200] if why else ""
 
-    def _try(self, waiting: _Waiting, at: str = "") -> None:
+    def _try(self, proposal: Proposal, at: str = "") -> None:
         if self.leads:
-            data, why = self._judged(encode(waiting.command))
+            data, why = self._judged(encode(proposal.command))
             if why:
-                self._end(waiting, why)
+                self.proposals.end(proposal, why)
                 return
-            self._step([Propose(waiting.number, data)])
+            self._step([Propose(proposal.number, data)])
         elif at or self.leader:
-            self._post(at or self.leader, Request(waiting.number, encode(waiting.command)))
+            self._post(at or self.leader, Request(proposal.number, encode(proposal.command)))
 
     def _answered(self, answer: Answer) -> None:
-        waiting = self._waiting.get(answer.id)
-        if waiting is None:
-            return
         if answer.index:
-            waiting.index = answer.index
-            self._look(waiting)
+            self.proposals.stands_at(answer.id, answer.index)
+            self.proposals.settle(self.applied, self.machine.state.results)
         else:
             self._refused(answer.id, answer.why, answer.leader)
 
     def _refused(self, number: int, why: str, leader: str) -> None:
-        waiting = self._waiting.get(number)
-        if waiting is None:
+        proposal = self.proposals.get(number)
+        if proposal is None:
             return
         if why.startswith(FINAL):
-            self._end(waiting, why)
+            self.proposals.end(proposal, why)
         elif leader and leader != self.entry.member and not self.leads:
-            self._try(waiting, leader)
-
-    def _look(self, waiting: _Waiting) -> None:
-        """Committed and applied here: what came of it is in the machine."""
-        if waiting.index and self.applied >= waiting.index:
-            result = self.machine.state.results.get(waiting.command.id)
-            self._end(waiting, "not found among what was agreed" if result is None else result)
-
-    def _end(self, waiting: _Waiting, why: str) -> None:
-        if self._waiting.pop(waiting.number, None) is not None:
-            waiting.done(why)
+            self._try(proposal, leader)
 
     # --- for people ---
 
