--- a/quincepath/fleet/agreed.py
+++ b/quincepath/fleet/agreed.py
@@ -77,6 +77,7 @@
 
     def __init__(self, loop: Loop, entry: FleetEntry, base: Path, seed: int, hooks: Hooks, log: Any) -> None:
         self.loop, self.entry, self.hooks, self.log = loop, entry, hooks, log
+        self._peers = frozenset(peer.name for peer in entry.peers)
         self.machine = Permits()
         self.progress = Progress()
         self.maps = hooks.maps(self.machine)
@@ -167,7 +168,7 @@
         """A message of another broker."""
         try:
             post, body = unpack(data, self.entry.name, self.entry.member)
-            if post.sender not in {peer.name for peer in self.entry.peers}:
+            if post.sender not in self._peers:
                 raise Rejected("unknown member")
         except Rejected as error:
             self.hooks.dropped(error.cause)
