A connection reset under its first message of the log no longer crashes the broker

Seen: the overload script over processes ("four times the load, those who sum up killed") failed in a run of all tests, as it had now and then: 274 tries lost from 9.86 s on, and b0 refused connections to the end. Its log ends with AttributeError: 'NoneType' object has no attribute 'write' in Edge._dial_way: what waits is written in a loop when the connection opens, a write finds it reset by a member that was killed just then, `lost` sets the stream to None, and the next write crashes the process. So the flaky script was a real crash; a busy machine only made the moment likely.

The rest of what waits is lost now, as on a bad way. The new test resets under the first of two messages: it fails with the old loop and passes with this. Nine tests of the edge pass; the whole suite was run before this change (2653 passed, this one failed) and not again after it.

--- a/quincepath/fleet/edge.py
+++ b/quincepath/fleet/edge.py
@@ -322,9 +322,10 @@
         def opened(sock: socket.socket) -> None:
             way.dial = None
             way.stream = Stream(self.loop, sock, lambda data: None, lost)
-            for chunk in way.waiting:
-                way.stream.write(chunk)
-            way.waiting.clear()
+            waiting, way.waiting = way.waiting, []
+            for chunk in waiting:
+                if way.stream is not None:  # a write may find that the other end has reset it
+                    way.stream.write(chunk)
 
         def failed(_: int) -> None:
             way.dial = None
--- a/tests/test_fleet_edge.py
+++ b/tests/test_fleet_edge.py
@@ -10,6 +10,7 @@
 from quincepath.fleet.view.core import HangUp, View
 from quincepath.fleet.view.facts import Phase, ViewSettings
 from quincepath.net.loop import Loop
+from quincepath.net.stream import Stream
 from tests.test_fleet_processes import free_ports
 
 LONGEST = 20.0  # seconds
@@ -169,3 +170,24 @@
     one._frame(7, b"a ping")
     one._carry_out(HangUp(7, True))
     assert 7 not in one._lines
+
+
+def test_a_connection_that_is_reset_under_its_first_message_loses_the_rest_and_nothing_more(
+    pair: Pair, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Seen in a fleet whose member was killed as it accepted: the broker that dialled it crashed."""
+    one = pair.start("b0")
+    pair.start("b1")
+    lost: list[str] = []
+    one.on_way_lost = lost.append
+    monkeypatch.setattr(Stream, "write", lambda self, data: self.fail("reset"))
+    one.tell("b1", b"first")
+    one.tell("b1", b"second")
+    pair.until(lambda: lost == ["b1"])
+    monkeypatch.undo()
+
+    def arrived() -> bool:
+        one.tell("b1", b"again")
+        return b"again" in pair.agreed
+
+    pair.until(arrived)
