--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -260,8 +260,8 @@
 class Broker:
     """The broker's process, as the platform starts it."""
 
-    def __init__(self, record: Record, folder: Path) -> None:
-        self.record, self.folder = record, folder
+    def __init__(self, record: Record, folder: Path, name: str = "b0") -> None:
+        self.record, self.folder, self.name = record, folder, name
         self.process: asyncio.subprocess.Process | None = None
         self.port = 0
         self.log = folder / "broker.log"
@@ -275,11 +275,11 @@
             probe.close()
             await probe.wait_closed()
             file = self.folder / "config.json"
-            file.write_text(json.dumps(config | {"name": "b0", "listen": f"{HOST}:{self.port}"}))
+            file.write_text(json.dumps(config | {"name": self.name, "listen": f"{HOST}:{self.port}"}))
             temporary = self.folder / "tmp"
             temporary.mkdir(exist_ok=True)
             environment = os.environ | {
-                "BALANCER_CONFIG": str(file), "BALANCER_NAME": "b0", "TMPDIR": str(temporary),
+                "BALANCER_CONFIG": str(file), "BALANCER_NAME": self.name, "TMPDIR": str(temporary),
                 "BALANCER_LISTEN": f"{HOST}:{self.port}", "BALANCER_DISCOVERY": config["discovery"],
             }  # fmt: skip
             nothing = asyncio.subprocess.DEVNULL
@@ -288,9 +288,9 @@
                     "/bin/sh", "-c", deploy["run"], cwd=ROOT, env=environment, stdin=nothing,
                     stdout=log, stderr=log,
                 )  # fmt: skip
-            self.record.line(f"broker started, pid {self.process.pid}, port {self.port}")
+            self.record.line(f"broker {self.name} started, pid {self.process.pid}, port {self.port}")
             if await self._becomes_ready():
-                self.record.line("broker is ready")
+                self.record.line(f"broker {self.name} is ready")
                 return
             await self.kill()
         raise Unusable("the broker did not become ready")
@@ -318,7 +318,7 @@
         if self.running():
             assert self.process is not None
             self.process.send_signal(number)
-            self.record.line(f"broker gets {number.name}")
+            self.record.line(f"broker {self.name} gets {number.name}")
 
     def resident_kb(self) -> int:
         """Its resident memory, as the system counts it; 0 once it has ended."""
@@ -385,6 +385,7 @@
 
     def __init__(self, record: Record, broker: Broker, patience: float) -> None:
         self.record, self.broker = record, broker
+        self._first = (0x9B1F03AA + broker.port) << 32  # ids differ from broker to broker
         self.patience = patience  # seconds past its time for which a client still listens, so as to measure
         self.asked: list[Asked] = []
         self._idle: list[Connection] = []
@@ -401,23 +402,23 @@
     async def ask(self, kind: str, shards: list[int], time_left: float) -> Asked:
         """Ask once; if the broker ends a kept connection without an answer, once more on a new one."""
         self._last += 1
-        name = f"{0x9B1F03AA5C7E0000 + self._last:016x}"
+        name = f"{self._first + self._last:016x}"
         text = f"c41e{self._last:04x}"
         asked = Asked(name, self.record.now(), time_left)
         self.asked.append(asked)
         self.record.line(f"client asks {name} {kind} shards={shards} time={time_left:.3f}")
-        try:
-            for fresh in (False, True):
-                kept = bool(self._idle) and not fresh
-                try:
-                    await self._try(asked, request_bytes(name, kind, shards, time_left, text), fresh)
+        for fresh in (False, True):
+            kept = bool(self._idle) and not fresh
+            try:
+                await self._try(asked, request_bytes(name, kind, shards, time_left, text), fresh)
+                break
+            except TimeoutError:
+                asked.cause = "no answer when the client stopped listening"
+                break
+            except (OSError, asyncio.IncompleteReadError) as error:
+                asked.cause = f"connection ended: {type(error).__name__}"
+                if not kept:
                     break
-                except (OSError, asyncio.IncompleteReadError) as error:
-                    asked.cause = f"connection ended: {type(error).__name__}"
-                    if not kept:
-                        break
-        except TimeoutError:
-            asked.cause = "no answer when the client stopped listening"
         if asked.status == 200:
             for item in json.loads(asked.body)["answers"]:
                 made = value_of(f"{name}.{item['range']}", text.encode())
@@ -483,13 +484,17 @@
     """Run a case and exit: 1 if it says that the rule was broken, 0 if it held, 2 if it could not run."""
 
     async def play() -> int:
+        this = asyncio.current_task()
+        assert this is not None
+        for number in (signal.SIGTERM, signal.SIGINT):  # a script that is ended ends its processes
+            asyncio.get_running_loop().add_signal_handler(number, this.cancel)
         world = World(folder)
         world.record.line(f"TROUBLE={int(TROUBLE)}")
         try:
             broken = await asyncio.wait_for(case(world), HARD_LIMIT_S)
             world.record.line("RULE BROKEN" if broken else "RULE HELD")
             return int(broken)
-        except Exception:
+        except (Exception, asyncio.CancelledError):
             world.record.line(f"could not run: {traceback.format_exc()}")
             traceback.print_exc()
             return 2
