Review: records name no path, and a client's time starts when it has sent its request

Reason: a run that was ended by a signal wrote a trace with paths into its record; the time began some ms early.

--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -432,6 +432,8 @@
         reader, writer = await self._connection(fresh)
         try:
             writer.write(request)
+            if not fresh:
+                asked.sent = self.record.now()  # the client's time counts from its first sending
             left = asked.sent + asked.time_left + self.patience - self.record.now()
             asked.status, asked.body = await asyncio.wait_for(read_response(reader), left)
         except BaseException:
@@ -472,7 +474,7 @@
         await self.broker.kill()
         with contextlib.suppress(OSError):
             for line in self.broker.log.read_text(errors="replace").splitlines()[-40:]:
-                self.record.line(f"log {line}")
+                self.record.line(f"log {line.replace(str(ROOT), '.')}")
         for node in self.nodes:
             node.close()
         self.discovery.close()
@@ -494,8 +496,8 @@
             broken = await asyncio.wait_for(case(world), HARD_LIMIT_S)
             world.record.line("RULE BROKEN" if broken else "RULE HELD")
             return int(broken)
-        except (Exception, asyncio.CancelledError):
-            world.record.line(f"could not run: {traceback.format_exc()}")
+        except (Exception, asyncio.CancelledError) as error:
+            world.record.line(f"could not run: {type(error).__name__} {error}")
             traceback.print_exc()
             return 2
         finally:
