Frames: a reply whose length is wrong is no longer served while other parts wait

Cause: FrameReader.feed delivered a reply as soon as its declared length was there. That no frame begins behind it was noticed in the same read or the next, and ended only the other attempts; up to four stray bytes were not looked at. Evidence: each wrong value begins as the right one; the record has "spoils ...25.3: length 57 for 61" and the client's value four characters short; the log has "letter 57 is unknown" for the same connection at the same time. Change: an invalid header is an error of its own (FrameHeaderError). While other attempts wait on the connection, a reply with bytes behind it is matched once those make a valid header, and is an error that may have run if they do not, or if they stall. A part cancelled within a dial timeout counts as waiting. When nothing else waits, noise behind a reply proves nothing and the reply is served as before. Why it works: every misfit of 1 to 5 bytes too small, or 1 or 2 too large, leaves an invalid header or a control character; a header behind a sound reply is valid. The same holds for rejections, which no longer prove that a part with a spoilt reply never ran.

--- a/quincepath/platform/connection.py
+++ b/quincepath/platform/connection.py
@@ -136,7 +136,7 @@
     def cancel(self, attempt: OutgoingAttempt) -> bool:
         """Cancel an attempt that nobody waits for; returns whether it certainly never ran."""
         if attempt.sent:
-            self.state.cancel(attempt.id)
+            self.state.cancel(self.owner.loop.now, attempt.id)
             self.queue.append(OutgoingFrame(data=cancel_frame(attempt.id)))
             self._pump()
             return False
@@ -176,7 +176,7 @@
         sent = [a for a in self.state.in_flight.values() if isinstance(a, OutgoingAttempt) and a.sent]
         concerned = self.state.in_flight.get(frame_error.part) or (sent[0] if sent else None)
         if isinstance(concerned, OutgoingAttempt):
-            self.state.cancel(concerned.id)
+            self.state.cancel(self.owner.loop.now, concerned.id)
             self.owner.end_attempt(concerned, transport_outcome(CallEnd.PROTOCOL, frame_error.text))
         self.owner.on_event("spoilt connection", self.node, frame_error.text)
         unsent = transport_outcome(CallEnd.LOST_UNSENT, frame_error.text)
--- a/quincepath/platform/connection_state.py
+++ b/quincepath/platform/connection_state.py
@@ -6,12 +6,17 @@
 accepts no new attempts. Only an id whose attempt the node rejected as overloaded may be sent again, shortly
 after the reply: the node holds nothing of it any more, and a new connection for each retry would add load to
 a node that is already overloaded.
+
+A reply whose declared length is wrong looks whole: its value lacks bytes, or ends with bytes of the next
+frame. Only the bytes behind it show that, because no frame begins there. A node may also send noise behind a
+valid reply, but only when nothing else waits on the connection. So while other attempts wait, a reply with
+bytes behind it is matched once those begin a frame, and is invalid if they do not.
 """
 
 from collections.abc import Hashable
 from dataclasses import dataclass
 
-from quincepath.platform.frames import FrameError, FrameReader, Reply
+from quincepath.platform.frames import FrameError, FrameHeaderError, FrameReader, Reply
 
 NEVER_NS = 1 << 62  # a time that is never reached
 MAX_CANCELLED_SHARE = 0.5  # of the capacity; with more unanswered cancelled ids the connection is retired
@@ -43,6 +48,8 @@
         self.cancelled: set[bytes] = set()
         self.answered: dict[bytes, int] = {}  # answered ids, and from when on they may be sent again
         self.retired = False
+        self._unconfirmed: Reply | None = None  # whole, but the bytes behind it do not make a header yet
+        self._last_cancelled_at: int | None = None
         self.used_at = now  # when bytes were last sent or received
         self.received_at = now  # when bytes were last received
         self.reply_since = now  # when the reply being received, if any, began to arrive
@@ -80,10 +87,11 @@
         self.answered.pop(part, None)
         self.used_at = now
 
-    def cancel(self, part: bytes) -> None:
+    def cancel(self, now: int, part: bytes) -> None:
         """Nobody waits for a part any more; its reply may still arrive."""
         if self.in_flight.pop(part, None) is not None:
             self.cancelled.add(part)
+            self._last_cancelled_at = now
             self.retired |= len(self.cancelled) >= MAX_CANCELLED_SHARE * self.capacity
 
     def remove(self, part: bytes) -> None:
@@ -100,8 +108,34 @@
         silent = now > self.received_at + int(STALLED_REPLY_DIAL_TIMEOUTS * self.timeouts.dial)
         return silent or now > self.reply_since + WHOLE_REPLY_DIAL_TIMEOUTS * self.timeouts.dial
 
+    def stall_error(self) -> FrameError:
+        """The error of a connection that is ``stalled``; it concerns the unconfirmed reply, if any."""
+        part = b"" if self._unconfirmed is None else self._unconfirmed.id
+        return FrameError("a reply that began does not go on", part)
+
     def receive(self, now: int, data: bytes) -> tuple[list[tuple[Hashable, Reply]], FrameError | None]:
         """Replies by attempt, and the error in the bytes after them, if there is one."""
+        replies, frame_error = self._read(now, data)
+        matched: list[tuple[Hashable, Reply]] = []
+        for position, reply in enumerate(replies, 1):
+            if position == len(replies) and self._others_wait(now, reply.id):
+                if isinstance(frame_error, FrameHeaderError):
+                    return matched, FrameError(f"a reply's length is wrong: {frame_error.text}", reply.id)
+                if self.reader.mid_header:
+                    self._unconfirmed = reply
+                    break
+            if reply.id in self.in_flight:
+                matched.append((self.in_flight.pop(reply.id), reply))
+                self._remember_answered(now, reply)
+            elif reply.id in self.cancelled:
+                self.cancelled.discard(reply.id)
+                self.answered[reply.id] = NEVER_NS
+            elif reply.id not in self.answered:  # a duplicate reply is harmless
+                return matched, frame_error or FrameError("a reply to a part that was never sent here")
+        return matched, frame_error
+
+    def _read(self, now: int, data: bytes) -> tuple[list[Reply], FrameError | None]:
+        """The replies that are whole, a formerly unconfirmed one first, and the error after them, if any."""
         self.used_at = self.received_at = self.waiting_since = now
         was_mid_frame = self.reader.mid_frame
         frame_error: FrameError | None = None
@@ -109,22 +143,26 @@
             self.reader.feed(data)
         except FrameError as error:
             frame_error = error
-        matched: list[tuple[Hashable, Reply]] = []
         replies, self.reader.replies = self.reader.replies, []
         if replies or not was_mid_frame:
             self.reply_since = now  # of the partial reply, if any, at the end of these bytes
-        for reply in replies:
-            key = self.in_flight.pop(reply.id, None)
-            if key is not None:
-                matched.append((key, reply))
-                rejected = reply.status == b"later"
-                duplicate_window = int(DUPLICATE_REPLY_DIAL_TIMEOUTS * self.timeouts.dial)
-                self.answered[reply.id] = now + duplicate_window if rejected else NEVER_NS
-                if len(self.answered) > MAX_ANSWERED_IDS:
-                    del self.answered[next(iter(self.answered))]
-            elif reply.id in self.cancelled:
-                self.cancelled.discard(reply.id)
-                self.answered[reply.id] = NEVER_NS
-            elif reply.id not in self.answered:  # a duplicate reply is harmless
-                return matched, frame_error or FrameError("a reply to a part that was never sent here")
-        return matched, frame_error
+        if self._unconfirmed is not None:
+            replies.insert(0, self._unconfirmed)
+            self._unconfirmed = None
+        return replies, frame_error
+
+    def _others_wait(self, now: int, part: bytes) -> bool:
+        """Whether the node may have had other parts of this connection to answer when it answered ``part``.
+
+        A part that was just cancelled counts: the node may have replied before it read the cancel frame.
+        """
+        if len(self.in_flight) > (part in self.in_flight):
+            return True
+        cancelled_at = self._last_cancelled_at
+        return cancelled_at is not None and now <= cancelled_at + self.timeouts.dial
+
+    def _remember_answered(self, now: int, reply: Reply) -> None:
+        duplicate_window = int(DUPLICATE_REPLY_DIAL_TIMEOUTS * self.timeouts.dial)
+        self.answered[reply.id] = now + duplicate_window if reply.status == b"later" else NEVER_NS
+        if len(self.answered) > MAX_ANSWERED_IDS:
+            del self.answered[next(iter(self.answered))]
--- a/quincepath/platform/frames.py
+++ b/quincepath/platform/frames.py
@@ -24,6 +24,10 @@
         self.text, self.part = text, part
 
 
+class FrameHeaderError(FrameError):
+    """No frame begins where one should: the bytes are noise, or the frame before them has a wrong length."""
+
+
 @dataclass(slots=True, frozen=True)
 class CallPart:
     """One part of a call; ``wait`` is in milliseconds."""
@@ -73,7 +77,11 @@
 
 
 class FrameReader:
-    """``feed`` appends whole replies to ``replies``; those before invalid bytes stay valid."""
+    """``feed`` appends whole replies to ``replies``, those before invalid bytes included.
+
+    Only a valid header behind a reply confirms its length: after a ``FrameHeaderError``, and while
+    ``mid_header``, that of the last reply may be wrong.
+    """
 
     def __init__(self) -> None:
         self.replies: list[Reply] = []
@@ -84,6 +92,11 @@
         """Whether a frame has begun and not ended."""
         return bool(self._buffer)
 
+    @property
+    def mid_header(self) -> bool:
+        """Whether the header of a frame has begun and not ended."""
+        return 0 < len(self._buffer) < HEADER_BYTES
+
     def feed(self, data: bytes) -> None:
         """Parse more bytes; raises ``FrameError``."""
         buffer = self._buffer
@@ -91,12 +104,7 @@
         at = 0
         try:
             while len(buffer) - at >= HEADER_BYTES:
-                size = LENGTH.unpack_from(buffer, at)[0]
-                letter = buffer[at + 4]
-                if letter not in b"qr":
-                    raise FrameError(f"letter {letter} is unknown")
-                if not 1 < size <= MAX_FRAME_BYTES:
-                    raise FrameError(f"a frame of {size} bytes, 2 to {MAX_FRAME_BYTES} are allowed")
+                size, letter = self._header(at)
                 end = at + 4 + size
                 line = buffer.find(b"\n", at + HEADER_BYTES, min(end, at + HEADER_BYTES + MAX_LINE_BYTES))
                 if letter == ord("r"):
@@ -118,6 +126,16 @@
         finally:
             del buffer[:at]
 
+    def _header(self, at: int) -> tuple[int, int]:
+        """Length and type letter of the frame that begins at ``at``."""
+        size: int = LENGTH.unpack_from(self._buffer, at)[0]
+        letter = self._buffer[at + 4]
+        if letter not in b"qr":
+            raise FrameHeaderError(f"letter {letter} is unknown")
+        if not 1 < size <= MAX_FRAME_BYTES:
+            raise FrameHeaderError(f"a frame of {size} bytes, 2 to {MAX_FRAME_BYTES} are allowed")
+        return size, letter
+
     @staticmethod
     def _reply(match: re.Match[bytes], value: bytes) -> Reply:
         part, status, _, report = match.groups()
--- a/tests/platform/test_replies.py
+++ b/tests/platform/test_replies.py
@@ -2,6 +2,7 @@
 
 import select
 import socket
+import struct
 from collections.abc import Callable
 
 import pytest
@@ -226,3 +227,97 @@
     harness.start(4, 5)
     harness.run(20 * MS)
     assert sorted(len(one.state.in_flight) for one in harness.nodes.connections[NODE]) == [2, 3]
+
+
+# --- lengths that do not fit ---
+
+LENGTH_ERRORS = (-5, -4, -3, -2, -1, 1, 2)
+VALUE = "5be2a07c19f04d63"
+
+
+def reply(part: int, status: str = "good", length_error: int = 0) -> bytes:
+    """The frame of a reply whose declared length is wrong by ``length_error`` bytes."""
+    value = VALUE if status == "good" else ""
+    payload = f"q{part}.0 {status} 7 inflight=7\n{value}".encode()
+    return struct.pack("<I", 1 + len(payload) + length_error) + b"q" + payload
+
+
+@pytest.mark.parametrize("gap", [0, 20 * MS], ids=["in one read", "in two reads"])
+@pytest.mark.parametrize("length_error", LENGTH_ERRORS)
+def test_a_reply_with_a_wrong_length_is_not_served_while_other_parts_wait(
+    length_error: int, gap: int
+) -> None:
+    """The value would lack its last bytes, or end with the first byte of the next frame."""
+    harness = silent_node(1, 2)
+    node = harness.node.streams[0]
+    node.write(reply(1, length_error=length_error))
+    if gap:
+        harness.run(gap)
+    node.write(reply(2))
+    harness.run(20 * MS)
+    assert harness.results() == {1: Result.ERROR, 2: Result.CANCELLED}
+    assert [one.body for one in harness.ended] == [None, None] and harness.events == ["spoilt connection"]
+
+
+@pytest.mark.parametrize("length_error", LENGTH_ERRORS)
+def test_a_rejection_with_a_wrong_length_does_not_prove_that_the_part_never_ran(length_error: int) -> None:
+    """The part of a spoilt reply may have run, so that it must not be sent again as one that did not."""
+    harness = silent_node(1, 2)
+    harness.node.streams[0].write(reply(1, "later", length_error) + reply(2))
+    harness.run(20 * MS)
+    assert harness.results() == {1: Result.ERROR, 2: Result.CANCELLED}
+
+
+def test_stray_bytes_with_nothing_behind_them_make_the_reply_before_them_an_error() -> None:
+    harness = silent_node(1, 2)
+    harness.node.streams[0].write(reply(1, length_error=-4))
+    harness.run(STALL_NS + 2 * SWEEP_NS)
+    assert harness.results() == {1: Result.ERROR, 2: Result.CANCELLED}
+
+
+def test_an_end_of_the_connection_behind_stray_bytes_does_not_make_the_reply_valid() -> None:
+    harness = silent_node(1, 2)
+    harness.node.streams[0].write(reply(1, length_error=-4))
+    harness.settle()
+    harness.node.streams[0].close()
+    harness.run(20 * MS)
+    assert harness.results() == {1: Result.RESET, 2: Result.RESET}
+
+
+def test_only_the_reply_directly_before_invalid_bytes_is_in_doubt() -> None:
+    harness = silent_node(1, 2, 3, 4)
+    harness.node.streams[0].write(reply(1) + reply(2) + reply(3, length_error=-4) + reply(4))
+    harness.run(20 * MS)
+    assert harness.results() == {1: Result.OK, 2: Result.OK, 3: Result.ERROR, 4: Result.CANCELLED}
+
+
+def test_a_wrong_length_is_noticed_although_the_other_part_was_just_cancelled() -> None:
+    """The cancellation crosses the reply: for the node the other part still waits."""
+    harness = silent_node(1, 2)
+    harness.node.streams[0].sock.send(reply(1, length_error=-5) + b"-")
+    harness.nodes.stop(2, 0)
+    harness.run(20 * MS)
+    assert harness.results() == {2: Result.CANCELLED, 1: Result.ERROR}
+
+
+@pytest.mark.parametrize("noise", [b"4d63", b"4d63f", bytes(40), b"\xff" * 40])
+def test_noise_behind_the_reply_to_the_only_part_leaves_it_valid(noise: bytes) -> None:
+    """A node may send more than belongs to a reply when nothing else waits on the connection."""
+    harness = silent_node(1)
+    harness.node.streams[0].write(reply(1) + noise)
+    harness.run(20 * MS)
+    assert harness.results() == {1: Result.OK} and harness.ended[0].body == VALUE
+
+
+@pytest.mark.parametrize("size", [1, 2, 3, 4])
+def test_a_valid_reply_is_delivered_when_the_header_behind_it_is_whole(size: int) -> None:
+    harness = silent_node(1, 2)
+    following = reply(2)
+    harness.node.streams[0].write(reply(1) + following[:size])
+    harness.run(20 * MS)
+    harness.node.streams[0].write(following[size:5])
+    harness.run(20 * MS)
+    assert harness.results() == {1: Result.OK}
+    harness.node.streams[0].write(following[5:])
+    harness.run(20 * MS)
+    assert harness.results() == {1: Result.OK, 2: Result.OK} and not harness.events
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -109,7 +109,7 @@
 
 def test_a_cancelled_id_is_not_sent_again_where_its_reply_may_still_arrive() -> None:
     state = state_with_attempt()
-    state.cancel(b"a.1")
+    state.cancel(SECOND, b"a.1")
     assert not state.may_carry(SECOND, b"a.1") and state.may_carry(SECOND, b"a.2")
     assert state.receive(2 * SECOND, GOOD) == ([], None)
     assert not state.may_carry(9 * SECOND, b"a.1"), "nor after it: a duplicate may follow"
@@ -144,7 +144,7 @@
         if not state.has_capacity(SECOND):
             break
         state.add(SECOND, b"p.%d" % number, number)
-        state.cancel(b"p.%d" % number)
+        state.cancel(SECOND, b"p.%d" % number)
     assert len(state.cancelled) == 50 and state.retired
 
 
