HTTP server: a connection that was sent its last answer drops what was sent ahead

Seen: by reading, beside the closed connections: memory of requests that will never be served. Cause: ClientConnection._finish left the queued requests in the reader until the client ended its side or the linger time was over, while nothing more is taken from such a connection. Change: the reader is closed with the last answer; RequestReader.close drops the queue and the buffer. Result: test_a_connection_that_was_sent_its_last_answer_keeps_nothing_sent_ahead failed before (three bodies held) and passes; 981 tests of network, platform, hard cases, remote read and fuzzing pass.

--- a/quincepath/net/http1.py
+++ b/quincepath/net/http1.py
@@ -189,8 +189,13 @@
                 self._fail(431, f"a line of more than {self.limits.headers} bytes")
 
     def close(self) -> None:
-        """Stop parsing. Breaks the reference cycle with the parser, so that both are freed at once."""
+        """Stop parsing and drop the queued requests: no more of them are taken from this connection.
+
+        Breaks the reference cycle with the parser, so that both are freed at once.
+        """
         self._parser = self.error = None
+        self.done.clear()
+        self._reset()
 
 
 class ResponseReader(_MessageReader):
--- a/quincepath/net/server.py
+++ b/quincepath/net/server.py
@@ -171,6 +171,7 @@
             self.since = self.server.loop.now
             self.server.release_address_slot(self)
             self.server.lingering[self] = None
+            self.reader.close()
             self.stream.finish(MAX_LINGER_BYTES, lambda: self._on_closed("finished"))
 
     @property
--- a/tests/net/test_request_memory.py
+++ b/tests/net/test_request_memory.py
@@ -1,6 +1,8 @@
-"""What a reader of requests holds in memory."""
+"""What a reader of requests, and a connection that is being closed, hold in memory."""
 
 from quincepath.net.http1 import Limits, RequestReader
+from tests.standins.platform import PlatformHarness
+from tests.standins.sockets import connect, peer_of, read_all
 
 BODY_LIMIT = 64 * 1024
 
@@ -22,3 +24,16 @@
     reader = RequestReader(Limits(body=BODY_LIMIT))
     reader.feed(request(300) * 16)
     assert len(reader.done) == 16 and not reader.dropped
+
+
+def test_a_connection_that_was_sent_its_last_answer_keeps_nothing_sent_ahead() -> None:
+    """It lingers until its client ends it, and serves nothing more."""
+    harness = PlatformHarness()
+    client = connect(harness)
+    client.sendall(
+        request(10) + request(BODY_LIMIT) * 3
+    )  # the first one is no query: its error is the last answer
+    harness.run(0.02)
+    peer = peer_of(harness, client)
+    assert read_all(client)[0].startswith(b"HTTP/1.1 400 ") and peer.closing and not peer.stream.closed
+    assert not peer.reader.held_bytes
