HTTP reader: what a client sends ahead is bounded in bytes, not only in requests

Cause: a connection queued up to 16 whole requests behind the open one, whatever their size: 1 MB each. Change: parsing stops as well when the queued bodies reach the size that one body may have; the rest is dropped and the connection closes after the answers it owes, as with more than 16 requests. Small requests are queued as before. All connections together are still bounded by their number only.

--- a/quincepath/net/http1.py
+++ b/quincepath/net/http1.py
@@ -121,8 +121,8 @@
 class RequestReader(_MessageReader):
     """Server side: ``done`` holds the completed requests in order, pipelined ones included.
 
-    With ``MAX_PIPELINED_REQUESTS`` of them queued, parsing stops: further bytes are only counted in
-    ``dropped``, and no later request can be read from this connection.
+    With ``MAX_PIPELINED_REQUESTS`` of them queued, or as many bytes of bodies as one request may have, parsing
+    stops: further bytes are only counted in ``dropped``, and no later request can be read from this connection.
     """
 
     def __init__(self, limits: Limits) -> None:
@@ -173,10 +173,13 @@
     def _queued_bytes(self) -> int:
         return sum(len(request.body) for request in self.done)
 
+    def _queue_full(self) -> bool:
+        return len(self.done) >= MAX_PIPELINED_REQUESTS or self._queued_bytes() >= self.limits.body
+
     def feed(self, data: bytes) -> None:
         """Parse bytes into ``done``. Raises ``HttpError``; requests completed before the error stay valid."""
         for offset in range(0, len(data), PARSE_CHUNK_BYTES):
-            if self.dropped or len(self.done) >= MAX_PIPELINED_REQUESTS:
+            if self.dropped or self._queue_full():
                 self.dropped += len(data) - offset
                 return
             if self._parser is None:
