HTTP server: 2 MiB sent ahead are discarded before a connection is cut, as in sum before

Clients with 1.3 MB sent ahead were cut without an answer: what is no longer queued counts as discarded, and the limit of that was passed before the first request was taken. Change: the limit of discarded bytes is 2 MiB, the sum of what was queued and discarded at most before. Discarded bytes take no memory.

--- a/quincepath/net/http1.py
+++ b/quincepath/net/http1.py
@@ -121,8 +121,8 @@
 class RequestReader(_MessageReader):
     """Server side: ``done`` holds the completed requests in order, pipelined ones included.
 
-    With ``MAX_PIPELINED_REQUESTS`` of them queued, or as many bytes of bodies as one request may have, parsing
-    stops: further bytes are only counted in ``dropped``, and no later request can be read from this connection.
+    With ``MAX_PIPELINED_REQUESTS`` of them queued, or as many bytes as one body may have, parsing stops:
+    further bytes are only counted in ``dropped``, and no later request can be read from this connection.
     """
 
     def __init__(self, limits: Limits) -> None:
--- a/quincepath/net/server.py
+++ b/quincepath/net/server.py
@@ -19,7 +19,7 @@
 SWEEP_INTERVAL_NS = 250_000_000  # between checks for connections past a timeout
 MAX_LINGER_BYTES = 1024 * 1024  # read and discarded from a client that was sent its last answer
 MAX_JOINED_BODY_BYTES = 16 * 1024  # a smaller body is copied behind the head and sent with it
-MAX_DISCARDED_BYTES = 1024 * 1024  # sent ahead, read and discarded; over it the connection is closed
+MAX_DISCARDED_BYTES = 2 * 1024 * 1024  # sent ahead, read and discarded; over it the connection is closed
 DRAIN_FIRST_REQUEST_NS = 250_000_000  # for a new connection to begin its request while draining
 STALE_TURN_NS = 20_000_000  # a disconnect may stay unseen so long; queries must not be sent 100 ms after it
 TEXT_HEADERS = {"Content-Type": "text/plain; charset=utf-8"}
