Discovery: slow answers are heard, as late calls and by a time limit that follows them

Cause: a call had 0.5 s beyond its watch time, 1 s after three failures, never more, and its connection was closed then; every call met with the same. The limits are short so that two lost calls fit into the list's six seconds. Change: a call whose time is over counts as failed and the next one is made as before, but its connection stays open for 3.5 s (four at most) and its answer is used. While calls are answered the limit is a quarter over the longest answer seen, and the watch is shorter by what the sums need.

--- a/quincepath/platform/list_timing.py
+++ b/quincepath/platform/list_timing.py
@@ -23,6 +23,11 @@
 # the earlier fixed limit of each call: a call lost as discovery comes back hides the update for that time.
 SLOW_RESPONSE_TIMEOUT_NS = 1000 * MS
 SLOW_AFTER_FAILURES = 3
+# A call without a response in time is kept open this long beyond its watch time: the response may be slow.
+MAX_RESPONSE_NS = 3500 * MS
+MAX_LATE_CALLS = 4  # open at once beside the current one; each holds a descriptor
+RESPONSE_HEADROOM = 1.25  # of the longest response seen, as the time limit of the next one
+RESPONSE_DECAY = 0.9  # of the longest response seen, with each response
 MEAN_RETRY_DELAY_NS = (
     100 * MS
 )  # after a failed call: a watch counts as continued if it is renewed within 200 ms
@@ -33,16 +38,44 @@
 MAX_BACKOFF_FACTOR = 8
 
 
-def watch_wait_ms(longest: int, failures: int) -> int:
-    """How long (ms) a watch may be held open after this many consecutive failed calls."""
-    return min(longest, RETRY_WATCH_MS) if failures else longest
-
-
 def response_timeout(failures: int) -> int:
     """Time (ns) for one call beyond its watch time, after this many consecutive failed calls."""
     return RESPONSE_TIMEOUT_NS if failures < SLOW_AFTER_FAILURES else SLOW_RESPONSE_TIMEOUT_NS
 
 
+class ResponseTimes:
+    """Follows how long responses take, so that a slow service is not called anew before it has answered.
+
+    Only while calls are answered: after a failure the limits are those of a fast service, since the call
+    that failed is kept open beside the next one.
+    """
+
+    def __init__(self) -> None:
+        self.longest = 0  # ns, decaying
+
+    def observe(self, took: int | None) -> None:
+        """A response arrived, ``took`` ns beyond its watch time; None where that is not known."""
+        if took is not None:
+            self.longest = max(took, int(self.longest * RESPONSE_DECAY))
+
+    def timeout(self, failures: int) -> int:
+        """Time (ns) for one call beyond its watch time, after this many consecutive failed calls."""
+        fixed = response_timeout(failures)
+        if failures:
+            return fixed
+        return max(fixed, min(int(self.longest * RESPONSE_HEADROOM), MAX_RESPONSE_NS))
+
+    def watch_wait_ms(self, longest: int, failures: int) -> int:
+        """How long (ms) a watch may be held open after this many consecutive failed calls.
+
+        With slow responses it is shorter: the sum for a watch that fell silent has three of them.
+        """
+        if failures:
+            return min(longest, RETRY_WATCH_MS)
+        left = UPDATE_DEADLINE_NS - MARGIN_NS - 3 * self.timeout(0) - 2 * MAX_RETRY_DELAY_NS
+        return min(longest, max(left // MS - RETRY_WATCH_MS, RETRY_WATCH_MS))
+
+
 def retry_delay(fraction: float, refusals: int = 0) -> int:
     """The delay (ns) after a failed call; ``fraction`` is drawn at random from 0 to 1.
 
--- a/quincepath/platform/service.py
+++ b/quincepath/platform/service.py
@@ -262,12 +262,16 @@
             for node in [node for node in self.nodes.connections if node not in listed]:
                 self.nodes.close_node(node)
 
-    def _on_list(self, body: bytes, full: bool) -> int | None:
+    def _on_list(self, body: bytes, full: bool, overlapped: bool) -> int | None:
         update = read_list(body)
         if full and not update.full:
             raise TargetListError("a delta in response to a request for the full list")
-        self._apply_list(update, base=full)
+        superseded = overlapped and update.version < self.targets.version
+        if not superseded:
+            self._apply_list(update, base=full)
         self._discovery_ok, self._failure_reported = True, False
+        if superseded:
+            return self.targets.version
         # A version lower than the one requested from: discovery restarted its numbering, so the full list is
         # the new base.
         return None if update.version < self.targets.version else update.version
--- a/tests/platform/test_shared_list_service.py
+++ b/tests/platform/test_shared_list_service.py
@@ -29,7 +29,7 @@
             harness.loop, service.address, self._on_list, lambda why: None, number, PULL_WATCH_MS, True, held
         )
 
-    def _on_list(self, body: bytes, full: bool) -> int:
+    def _on_list(self, body: bytes, full: bool, overlapped: bool) -> int:
         self.version = read_list(body).version
         return self.version
 
--- a/tests/standins/agent.py
+++ b/tests/standins/agent.py
@@ -32,9 +32,10 @@
 class Agent:
     """``outcomes`` are the outcomes of the next calls, by name; after them ``default_outcome`` applies.
 
-    ``ok``: answered after ``delay``; a watch waits for changes. ``lost``: never answered, and nothing more
-    arrives on the connection. ``reset``, ``half``: reset at once, or after half of the response. ``stalled``:
-    half of the response, then nothing. ``trickle``: a byte a second. Any other is a method ``write_NAME``.
+    ``ok``: a watch waits for changes; the response is made then, and sent ``delay`` later. ``lost``: never
+    answered, and nothing more arrives on the connection. ``reset``, ``half``: reset at once, or after half of
+    the response. ``stalled``: half of the response, then nothing. ``trickle``: a byte a second. Any other is
+    a method ``write_NAME``.
     """
 
     def __init__(self, loop: Loop) -> None:
@@ -48,6 +49,7 @@
         self.calls: list[tuple[int, str]] = []  # when, target
         self.on_call: Callable[[], None] = lambda: None
         self.streams: list[Stream] = []
+        self.lost: set[Stream] = set()  # nothing is sent on them any more
         self.watches: list[tuple[Stream, int]] = []
         self.encode: Callable[[bytes], bytes] = framed  # how a body is encoded as a response
         self.after_response = ""  # "end" or "reset" of the connection after a response
@@ -98,6 +100,7 @@
         for stream in self.streams:
             if not stream.closed:
                 stream.pause()
+                self.lost.add(stream)
         self.watches.clear()
 
     def _accept(self, _: int) -> None:
@@ -144,7 +147,7 @@
             self.watches.append(watch := (stream, since))
             self.loop.call_in(wait * MS, lambda: self._over(watch))
         elif outcome == "ok":
-            self.loop.call_in(self.delay, lambda: self.send(stream, since))
+            self.respond(stream, since)
         else:
             getattr(self, f"write_{outcome}")(stream, since)
 
@@ -156,11 +159,21 @@
     def _over(self, watch: tuple[Stream, int]) -> None:
         if watch in self.watches:
             self.watches.remove(watch)
-            self.send(*watch)
+            self.respond(*watch)
 
-    def send(self, stream: Stream, since: int) -> None:
+    def respond(self, stream: Stream, since: int) -> None:
+        """Make a response now and send it after ``delay``."""
+        response = self.encode(self.body(since))
+        if self.delay:
+            self.loop.call_in(self.delay, lambda: self._send(stream, response))
+        else:
+            self._send(stream, response)
+
+    def _send(self, stream: Stream, response: bytes) -> None:
         """Send one response, then do with the connection what ``after_response`` says."""
-        stream.write(self.encode(self.body(since)))
+        if stream in self.lost:
+            return
+        stream.write(response)
         if self.after_response == "end":
             stream.finish(9999, lambda: None)
         elif self.after_response == "reset":
@@ -188,4 +201,4 @@
                 del self.entries[entry["id"]]
         waiting, self.watches = self.watches, []
         for stream, since in waiting:
-            self.send(stream, since)
+            self.respond(stream, since)
