Platform: time that a request waited unread in a broker that stood still is taken off

Cause: a client's time was counted from the turn that read the request. Loop.lag was not used for it, and missed most of a standstill within a wait: only what went past the wait's end was counted, and a wait that a stop signal interrupts reports nothing, so that the next one finds the bytes with no lag. Change: the system is asked how long ago a connection's last bytes came (tcpi_last_data_recv), bounded by the loop's lag, which now has the whole of a wait that was held up and carries it on to the next wait where nothing was reported; the wait to be accepted counts for a connection's first request. Over 75 ms it is taken off; a request whose time may be over is refused at once ("over when read"). A shutdown counts from when its signal may have come, idle limits of connections to nodes from the clock instead of the turn's start. Why 75 ms: half of the slack of the time told.

--- a/quincepath/lab/memory_network/network.py
+++ b/quincepath/lab/memory_network/network.py
@@ -24,6 +24,10 @@
         self.registry = Registry()
         self.resident_bytes = lambda: RESIDENT_BYTES
 
+    def data_age(self, sock: socket.socket) -> int | None:
+        """Not known: the network keeps no times of arrival."""
+        return None
+
     def selector(self) -> selectors.BaseSelector:
         """Make a selector for the sockets of this network."""
         return MemorySelector(self.registry)
--- a/quincepath/lab/virtual_loop.py
+++ b/quincepath/lab/virtual_loop.py
@@ -6,6 +6,7 @@
 """
 
 import selectors
+import socket
 
 from quincepath.lab.memory_network import MemoryNetwork
 from quincepath.net.loop import Loop
@@ -15,12 +16,20 @@
 LOOPBACK_WAIT_S = 0.001  # real time for loopback to deliver sent data before the clock may jump
 
 
+class VirtualTimeSystem(System):
+    """The real system, whose ages of bytes are of real time and so mean nothing here."""
+
+    def data_age(self, sock: socket.socket) -> int | None:
+        """Not known in virtual time."""
+        return None
+
+
 class VirtualLoop(Loop):
     """Advances its clock only when no socket is ready."""
 
     def __init__(self, system: System | None = None) -> None:
         self.at = 1_000 * SECOND
-        super().__init__(lambda: self.at, system)
+        super().__init__(lambda: self.at, system or VirtualTimeSystem())
 
     def _wait(self, seconds: float) -> list[tuple[selectors.SelectorKey, int]]:
         ready = self._ready()
--- a/quincepath/net/loop.py
+++ b/quincepath/net/loop.py
@@ -16,6 +16,7 @@
 from quincepath.net.system import System
 
 READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
+MAX_OVERRUN_NS = 20_000_000  # of a wait: the selector's milliseconds and the system's scheduling
 MAX_WAIT_S = 60.0  # an idle loop wakes up this often, at negligible cost
 
 
@@ -52,8 +53,9 @@
         self.turns = 0
         self.now = clock()
         # Longest time (ns) that an event found by the last wait may have been pending: the previous turn's
-        # duration plus the wait's overrun.
+        # duration, and the whole wait if it took so much longer than asked for that the process was held up.
         self.lag = 0
+        self._unseen = 0  # how long events may have been pending that the last wait did not report
 
     def watch(self, sock: socket.socket, mask: int, call: Callable[[int], None]) -> None:
         """Run ``call(ready mask)`` when the socket is ready. Replaces an earlier watch; mask 0 removes it."""
@@ -112,7 +114,10 @@
             wait = 0.0  # a signal received after this check ends the wait by the descriptor
         ready = self._wait(wait)
         previous, self.now = self.now, self.clock()
-        self.lag = began - previous + max(self.now - began - int(wait * 1e9), 0)
+        held_up = self._time_held_up(self.now - began, int(wait * 1e9))
+        self.lag = began - previous + self._unseen + held_up
+        # A wait that was held up may report nothing although events are pending: the next one has them.
+        self._unseen = self.lag if not ready and held_up > MAX_OVERRUN_NS else 0
         self.turns += 1
         while self._pending_signals:
             self._call_guarded(self._signal_handlers[signal.Signals(self._pending_signals.popitem()[0])])
@@ -128,6 +133,12 @@
         for hook in self.turn_hooks:
             self._call_guarded(hook)
 
+    @staticmethod
+    def _time_held_up(waited: int, asked_for: int) -> int:
+        """How long (ns) events may have been pending in a wait: if held up, perhaps from its start."""
+        overrun = waited - asked_for
+        return waited if overrun > MAX_OVERRUN_NS else max(overrun, 0)
+
     def _call_guarded(self, call: Any, *values: Any) -> None:
         try:
             call(*values)
--- a/quincepath/net/server.py
+++ b/quincepath/net/server.py
@@ -41,10 +41,10 @@
 
 
 class Exchange:
-    """One request and its answer."""
+    """One request and its answer. ``received_at``: no later than when its last byte arrived, in ns."""
 
-    def __init__(self, connection: "ClientConnection", request: Request) -> None:
-        self.connection, self.request = connection, request
+    def __init__(self, connection: "ClientConnection", request: Request, received_at: int) -> None:
+        self.connection, self.request, self.received_at = connection, request, received_at
         self.answered = False
         self.on_disconnect: Callable[[], None] | None = None
 
@@ -79,8 +79,22 @@
         self.valued = False  # set by the handler: it has brought work that makes it worth keeping
         self.error: HttpError | None = None
         self.bytes_after_error = 0  # received after an error that is not answered yet
+        self._waiting_since = server.listener.waiting_since
+        self._accepted_in = server.loop.turns
+        self._received_at: int | None = None  # of the first queued request, if none was open when it came
         self.stream = Stream(server.loop, sock, self._on_data, self._on_closed, self._on_drained)
 
+    def _time_unread(self) -> int:
+        """How long (ns) the bytes being read may have waited, where the system does not tell, at most."""
+        loop = self.server.loop
+        longest = loop.lag
+        if loop.turns <= self._accepted_in + 1:  # they may have come before the connection was accepted
+            longest = max(longest, loop.now - self._waiting_since)
+        if longest < STALE_TURN_NS:
+            return longest  # not worth a system call
+        age = loop.system.data_age(self.stream.sock)
+        return longest if age is None else min(longest, age)
+
     @property
     def closing(self) -> bool:
         """Whether its last answer was sent or it is being closed: no further request is processed."""
@@ -93,11 +107,14 @@
             if self.asked or not self.server.timeouts.first_request:
                 self.since = self.server.loop.now
         if self.error is None:
+            awaits_request = self.current is None and not self.reader.done
             try:
                 self.reader.feed(data)
             except HttpError as error:
                 # A copy without the traceback, which refers to this connection.
                 self.error = HttpError(error.status, error.text)
+            if awaits_request and self.reader.done:
+                self._received_at = self.server.loop.now - self._time_unread()
         else:
             self.bytes_after_error += len(data)
         # Not left unread: the client's disconnect may follow, and must end its open query.
@@ -124,7 +141,8 @@
             self.arriving = self.reader.busy or bool(self.reader.done)
             self.since = self.server.loop.now
             self.asked = True
-            exchange = self.current = Exchange(self, request)
+            received_at, self._received_at = self._received_at, None
+            exchange = self.current = Exchange(self, request, received_at or self.server.loop.now)
             self.server.counts["requests"] += 1
             self.server.handler(exchange)
         elif self.error is not None:
--- a/quincepath/net/stream.py
+++ b/quincepath/net/stream.py
@@ -14,6 +14,7 @@
 # without bound: the trimmed bytes stay at its start for a while, and the next buffer is allocated after them.
 _READ_BUFFER = memoryview(bytearray(READ_CHUNK_BYTES))
 ACCEPT_BACKLOG = 1024  # connections queued by the system until they are accepted
+MAX_ACCEPTS_PER_TURN = 64
 MAX_FINAL_READS = 8  # before closing at a limit: 2 MiB, more than a receive buffer commonly holds
 ACCEPT_PAUSE_NS = 100_000_000  # pause of a listener after accepting failed for lack of descriptors
 
@@ -254,10 +255,16 @@
         self.sock.setblocking(False)
         self.port: int = self.sock.getsockname()[1]
         self.closed = False
+        # Since when (ns) the connections being accepted may have been waiting.
+        self.waiting_since = loop.now
+        self._more_waiting = False  # the last turn accepted as many as one turn may
         loop.watch(self.sock, READ, self._ready)
 
     def _ready(self, _: int) -> None:
-        self._accept(64, self.max_open)
+        if not self._more_waiting:
+            self.waiting_since = self.loop.now - self.loop.lag
+        self._more_waiting = False
+        self._accept(MAX_ACCEPTS_PER_TURN, self.max_open)
 
     def _accept(self, max_accepts: int, max_open: int) -> None:
         for _ in range(max_accepts):
@@ -275,6 +282,7 @@
                     return
                 raise
             self._on_accept(sock)
+        self._more_waiting = True
 
     def _pause_accepting(self, reason: str) -> None:
         self._on_paused(reason)
--- a/quincepath/net/system.py
+++ b/quincepath/net/system.py
@@ -7,9 +7,14 @@
 import os
 import selectors
 import socket
+import struct
 import time
 from collections.abc import Callable
 
+MS = 1_000_000  # ns
+TCP_INFO_BYTES = 104
+LAST_DATA_RECEIVED_OFFSET = 52  # of tcpi_last_data_recv in Linux's struct tcp_info: ms, 32 bits
+
 
 class System:
     """Sockets, wall clock and entropy of the operating system. Failing calls raise ``OSError``."""
@@ -33,6 +38,20 @@
         """A listening TCP socket; port 0 selects a free port."""
         return socket.create_server((host, port), backlog=backlog)
 
+    def data_age(self, sock: socket.socket) -> int | None:
+        """How long ago (ns) the last bytes arrived on a TCP socket, read or not; None if not known."""
+        option = getattr(socket, "TCP_INFO", None)  # Linux
+        if option is None:
+            return None
+        try:
+            info = sock.getsockopt(socket.IPPROTO_TCP, option, TCP_INFO_BYTES)
+        except OSError:
+            return None
+        if len(info) < LAST_DATA_RECEIVED_OFFSET + 4:
+            return None
+        age_ms: int = struct.unpack_from("=I", info, LAST_DATA_RECEIVED_OFFSET)[0]
+        return age_ms * MS
+
     def wall_ns(self) -> int:
         """The wall clock, nanoseconds since the epoch."""
         return time.time_ns()
--- a/quincepath/platform/nodes.py
+++ b/quincepath/platform/nodes.py
@@ -77,7 +77,7 @@
     def _connection(
         self, node: NodeId, address: tuple[str, int], attempts: list[OutgoingAttempt]
     ) -> Connection | None:
-        now = self.loop.now
+        now = self.loop.clock()  # a turn may be long, and the idle limit of a connection is exact
         held = self.connections.setdefault(node, [])
         for connection in held:
             state = connection.state
--- a/quincepath/platform/service.py
+++ b/quincepath/platform/service.py
@@ -47,6 +47,9 @@
 SECOND = 1000 * MS
 REPORT_INTERVAL_NS = 10 * SECOND  # between two log lines of counters
 SHUTDOWN_POLL_NS = 50 * MS  # between checks whether all queries are answered
+# Time that a request may have waited unread without being taken off: half of the slack that the time told to
+# nodes has. Less would refuse queries of a busy broker that it still serves in time.
+MAX_UNREAD_NS = 75 * MS
 FIRST_LIST_TIMEOUT_S = 0.25  # for a first response of discovery, before clients are accepted
 MAX_ROUNDS_PER_TURN = 1000  # of the driver: a module that always wants to go on must not block the loop
 log = logging.getLogger("quincepath")
@@ -144,15 +147,18 @@
             exchange.request.keep_alive = False  # nothing more is read from such a client
             exchange.text(error.status, str(error))
             return
+        waited = self.loop.now - exchange.received_at  # unread, while this process was held up
+        if waited > MAX_UNREAD_NS:
+            ask = replace(ask, time_left=ask.time_left - waited)
+            if ask.time_left <= 0:
+                self.counts["over when read"] += 1
+                self._refuse(exchange, "its time may be over")
+                return
         left = self.shutdown.time_left(self.loop.now, ask.kind, ask.time_left)
         if left is None:
             self.counts["turned away at the end"] += 1
             exchange.request.keep_alive = False
-            exchange.respond(
-                *refusal(
-                    "stopping", self._retry_after(self.admission.reject_with_base_delay("stopping").retry_in)
-                )
-            )
+            self._refuse(exchange, "stopping")
             return
         if left < ask.time_left:
             ask = replace(ask, time_left=left)
@@ -171,6 +177,12 @@
         exchange.on_disconnect = lambda: self._on_client_left(handle)
         self._inputs.append(QueryArrived(ask))
 
+    def _refuse(self, exchange: Exchange, cause: str) -> None:
+        """Refuse a query of which nothing was sent, for a cause other than the load."""
+        exchange.respond(
+            *refusal(cause, self._retry_after(self.admission.reject_with_base_delay(cause).retry_in))
+        )
+
     def _arriving(self) -> int:
         """Queries and parts accepted in this turn, which the driver does not know yet."""
         return sum(1 + len(item.ask.parts) for item in self._inputs if isinstance(item, QueryArrived))
@@ -387,7 +399,7 @@
         log.info("stopping, %d queries open", len(self.exchanges))
         self.stopping = True
         self.on_stopped = on_stopped
-        self.shutdown.begin(self.loop.now)
+        self.shutdown.begin(self.loop.now - self.loop.lag)  # the signal may have been pending
         self.loop.call_at(self.shutdown.accepts_until(), self._drain_clients)
 
     def _drain_clients(self) -> None:
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -42,7 +42,10 @@
 
 
 class Node:
-    """One node. ``received`` holds (part id, shard) of each attempt, ``cancelled`` the cancelled ids."""
+    """One node. ``received`` holds (part id, shard) of each attempt, ``cancelled`` the cancelled ids.
+
+    ``received_waits`` holds (part id, ms) as each told; ``answer_silent`` answers the ``silent`` ones.
+    """
 
     def __init__(self, loop: Loop, name: str) -> None:
         self.loop, self.name = loop, name
@@ -50,6 +53,8 @@
         self.behaviors: list[str] = []
         self.default_behavior = "good"
         self.received: list[tuple[str, int]] = []
+        self.received_waits: list[tuple[str, int]] = []
+        self._silent: list[tuple[Stream, bytes]] = []
         self.cancelled: list[str] = []
         self.streams: list[Stream] = []
 
@@ -76,9 +81,16 @@
                 text, rest = rest[: int(length)], rest[int(length) :]
                 assert wait.startswith("d=") and int(length) == len(text)
                 self.received.append((part, int(shard)))
+                self.received_waits.append((part, int(wait[2:])))
                 behavior = self.behaviors.pop(0) if self.behaviors else self.default_behavior
                 self.loop.call_in(WORK_NS, self._reply_callback(stream, behavior, part, text.decode()))
 
+    def answer_silent(self) -> None:
+        """Send the answers that were held back."""
+        for stream, answer in self._silent:
+            stream.write(answer)
+        self._silent.clear()
+
     def _reply_callback(self, stream: Stream, behavior: str, part: str, text: str) -> Callable[[], None]:
         def reply() -> None:
             value = value_of(part, text).encode()
@@ -111,7 +123,7 @@
                 case "late":
                     self.loop.call_in(3 * SECOND, lambda: stream.write(good))
                 case "silent":
-                    pass
+                    self._silent.append((stream, good))
                 case _:
                     raise AssertionError(behavior)
 
