Platform: which client connections are kept and closed is a small module of its own

Change: ClientConnections (pure) holds those that brought queries and applies both limits; Broker passes it what happens.

--- a/quincepath/platform/service.py
+++ b/quincepath/platform/service.py
@@ -33,6 +33,7 @@
     Withdraw,
 )
 from quincepath.platform import descriptors, status
+from quincepath.platform.client_connections import ClientConnections
 from quincepath.platform.client_protocol import RequestError, encode_response, read_query, refusal
 from quincepath.platform.config import Address, Configuration
 from quincepath.platform.connection_state import ConnectionTimeouts
@@ -77,8 +78,6 @@
         self.exchanges: dict[int, Exchange] = {}
         self.open_ids: dict[str, int] = {}  # handles of the open queries, by the clients' ids
         self._id_by_handle: dict[int, str] = {}
-        # Open connections that brought queries, least recently used first.
-        self._query_connections: dict[ClientConnection, None] = {}
         self._inputs: list[Input] = []
         self._last_handle = 0
         self._wakeup: Timer | None = None
@@ -98,6 +97,7 @@
             self._on_attempt_ended, config.site.report_fields, self._on_node_event,
         )  # fmt: skip
         self.connection_limits = connection_limits
+        self.client_connections = ClientConnections(connection_limits)
         if config.known is not None:
             try:
                 self._apply_list(config.known, cached=True)
@@ -120,7 +120,7 @@
                 descriptors.FIRST_REQUEST_NS, descriptors.LINGER_NS,
             ),
             connection_limits.clients + 8, self._on_accepting_paused, enforce_limit=self._enforce_limit,
-            on_closed=self._on_client_connection_closed,
+            on_closed=self.client_connections.on_closed,
         )  # fmt: skip
         loop.turn_hooks.append(self._on_turn)
         loop.call_in(REPORT_INTERVAL_NS, self._report)
@@ -170,7 +170,7 @@
             exchange.respond(*refusal(rejection.cause, self._retry_after(rejection.retry_in)))
             return
         self.counts["taken"] += 1
-        self._mark_as_kept(exchange.connection)
+        self.client_connections.on_query(exchange.connection)
         self.exchanges[handle] = exchange
         self.open_ids[ask.name] = handle
         self._id_by_handle[handle] = ask.name
@@ -213,35 +213,9 @@
             self.counts["left"] += 1
             self._inputs.append(ClientLeft(handle))
 
-    def _mark_as_kept(self, connection: ClientConnection) -> None:
-        """Mark a connection that brought a query as kept; above the limit close the least recently used one.
-
-        Guards against clients that ask once and keep the connection open: they may hold only a limited number
-        of connections, and a later query of theirs would find none free on their side.
-        """
-        connection.valued = True
-        self._query_connections.pop(connection, None)
-        self._query_connections[connection] = None
-        if len(self._query_connections) > self.connection_limits.kept:
-            closing = next((c for c in self._query_connections if c.closing), None)
-            oldest = closing or next((c for c in self._query_connections if not c.busy), None)
-            if oldest is not None:
-                del self._query_connections[oldest]
-                if oldest.waits():
-                    oldest.end("cut, unused for longest")
-
-    def _on_client_connection_closed(self, connection: ClientConnection) -> None:
-        """Forget a closed connection: a reference would keep all that its client had sent ahead."""
-        self._query_connections.pop(connection, None)
-
     def _enforce_limit(self, server: HttpServer, newest: ClientConnection) -> None:
-        if len(server.connections) - len(server.lingering) <= self.connection_limits.clients:
-            return
-        found = descriptors.evict(self.loop.now, (c for c in server.connections if c is not newest))
-        if found is None:
-            newest.end("cut as it came")
-        else:
-            found.end("cut for room" if found.valued else "cut for room, brought nothing")
+        count = len(server.connections) - len(server.lingering)
+        self.client_connections.enforce_limit(self.loop.now, count, server.connections, newest)
 
     def _on_accepting_paused(self, why: str) -> None:
         self.counts["accepting paused"] += 1
