Tests: the order of events in which a part is sent again after its connection ended

Looked at: spoilt answers, replies that stall or never end, ids of others, complaints, resets and closes by the node, a close of our own, attempts that timed out; each alone and beside others, safe and unsafe classes. On each path the connection is closed, or the cancel frame queued, before the next attempt of the part begins. What a node could see as two: all paths in which the old connection ends by our close, if it reads the new connection first; nothing orders the bytes of two connections. A close is how the protocol gives an attempt up, so no fault is found.

--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -102,6 +102,8 @@
                     stream.write(frame(b"q", f"{part} {behavior} 0 -\n".encode()))
                 case "reset":
                     stream.close(reset=True)
+                case "end":
+                    stream.close()
                 case "noise":
                     stream.write(b"\xff\xfe nothing that was ever a frame")
                 case "endless":
