Discovery: the end of an outage is not taken for a slow service for long

Change: the longest response seen fades by half with each answer instead of a tenth. Result: test_the_end_of_an_outage_is_not_taken_for_a_slow_service_for_long fails with the tenth and passes; 492 tests of lists pass.

--- a/quincepath/platform/list_timing.py
+++ b/quincepath/platform/list_timing.py
@@ -27,7 +27,7 @@
 MAX_RESPONSE_NS = 3500 * MS
 MAX_LATE_CALLS = 4  # open at once beside the current one; each holds a descriptor
 RESPONSE_HEADROOM = 1.25  # of the longest response seen, as the time limit of the next one
-RESPONSE_DECAY = 0.9  # of the longest response seen, with each response
+RESPONSE_DECAY = 0.5  # of the longest response seen, with each response: silence may look like a slow one
 MEAN_RETRY_DELAY_NS = (
     100 * MS
 )  # after a failed call: a watch counts as continued if it is renewed within 200 ms
--- a/tests/platform/test_slow_discovery.py
+++ b/tests/platform/test_slow_discovery.py
@@ -183,6 +183,19 @@
     assert made <= (16 if delay_ms == 100 else 60 * SECOND // (delay_ms * MS) + 1) and made <= 60
 
 
+def test_the_end_of_an_outage_is_not_taken_for_a_slow_service_for_long() -> None:
+    """Calls made while it was silent are answered at its return, as if their responses had taken long."""
+    harness, agent = slow_harness("ask", 0, ["ok"])
+    agent.delay = 3 * SECOND
+    agent.reset()
+    harness.run(2.9)
+    agent.delay = 0
+    answered = len(agent.calls)
+    harness.run(8)
+    waits = [int(target.partition("timeout_ms=")[2] or 0) for _, target in agent.calls[answered:]]
+    assert 3_700 in waits[:6]
+
+
 @pytest.mark.parametrize("case", WORST_CASES_NS)
 def test_the_sums_hold_for_a_service_that_answers_within_its_first_time_limit(case: str) -> None:
     times = ResponseTimes()
