HTTP server: at most 16 requests of a connection are queued, however small they are

Cause: RequestReader.feed checked the bound on queued requests once for each piece of 16 KiB given to the parser. A piece of small requests holds some 480; all became Request objects and were answered one a turn. Change: the bound is checked where a request begins; a parser callback stops the parser there. Not bounded by this: what 16 larger requests a connection hold over all connections.

--- a/quincepath/net/http1.py
+++ b/quincepath/net/http1.py
@@ -19,6 +19,10 @@
         self.status, self.text = status, text
 
 
+class _QueueFullError(Exception):
+    """Raised in a parser callback to stop parsing: no further request is queued."""
+
+
 @dataclass(slots=True, frozen=True)
 class Limits:
     """Size limits in bytes; ``headers`` applies to all header lines of one message."""
@@ -113,6 +117,8 @@
         except httptools.HttpParserUpgrade:
             self.error = HttpError(501, "protocol upgrades are not served")
         except httptools.HttpParserError as error:
+            if isinstance(error.__context__, _QueueFullError):
+                raise error.__context__ from None
             self.error = self.error or HttpError(400, f"not HTTP/1.1: {error}")
         if self.error is not None:
             raise self.error
@@ -121,8 +127,9 @@
 class RequestReader(_MessageReader):
     """Server side: ``done`` holds the completed requests in order, pipelined ones included.
 
-    With ``MAX_PIPELINED_REQUESTS`` of them queued, or as many bytes as one body may have, parsing stops:
-    further bytes are only counted in ``dropped``, and no later request can be read from this connection.
+    With ``MAX_PIPELINED_REQUESTS`` of them queued, or as many bytes as one body may have, parsing stops
+    where the next request begins: further bytes are only counted in ``dropped``, and no later request can be
+    read from this connection.
     """
 
     def __init__(self, limits: Limits) -> None:
@@ -142,6 +149,8 @@
 
     def on_message_begin(self) -> None:
         """Parser callback: start of a message."""
+        if self._queue_full():
+            raise _QueueFullError
         self._target = b""
         super().on_message_begin()
 
@@ -186,7 +195,11 @@
                 return
             chunk = data[offset : offset + PARSE_CHUNK_BYTES]
             self._unreported_bytes += len(chunk)
-            self._feed(self._parser, chunk)
+            try:
+                self._feed(self._parser, chunk)
+            except _QueueFullError:  # somewhere in this chunk: the parser does not tell where
+                self.dropped += len(data) - offset
+                return
             # The parser buffers an unterminated line without limit.
             if self._unreported_bytes > self.limits.headers:
                 self._fail(431, f"a line of more than {self.limits.headers} bytes")
