Frames: a reply cut off by a wrong length is not served when no other part waits

Cause: ConnectionState.receive took bytes behind a reply that begin no frame as an error only while other attempts waited on the connection. Alone, the rest of the value was taken for the noise that a node may send behind a good reply. Change: bytes that begin with a printable character could be the end of the value, as values are printable text: the reply is an error that may have run. Other bytes are noise and leave the reply to the only part valid. With one or two such bytes it waits for more, half a dial timeout at most; from the third on FrameReader rejects a length that no frame may have. Why it works: whatever a length cuts off a valid value begins with a printable character, and no header of four printable bytes is valid. Cost: a good reply with printable noise behind it is a failed attempt now.

--- a/quincepath/platform/connection_state.py
+++ b/quincepath/platform/connection_state.py
@@ -8,9 +8,10 @@
 a node that is already overloaded.
 
 A reply whose declared length is wrong looks whole: its value lacks bytes, or ends with bytes of the next
-frame. Only the bytes behind it show that, because no frame begins there. A node may also send noise behind a
-valid reply, but only when nothing else waits on the connection. So while other attempts wait, a reply with
-bytes behind it is matched once those begin a frame, and is invalid if they do not.
+frame. Only the bytes behind it show that, because no frame begins there. So a reply with bytes behind it is
+matched once those begin a frame, and is invalid if they do not. There is one exception: a node may send noise
+behind a valid reply when nothing else waits on the connection. Values are printable text, so noise that could
+not be the end of the value leaves the reply valid then.
 """
 
 from collections.abc import Hashable
@@ -118,7 +119,7 @@
         replies, frame_error = self._read(now, data)
         matched: list[tuple[Hashable, Reply]] = []
         for position, reply in enumerate(replies, 1):
-            if position == len(replies) and self._others_wait(now, reply.id):
+            if position == len(replies) and self._may_be_cut_off(now, reply):
                 if isinstance(frame_error, FrameHeaderError):
                     return matched, FrameError(f"a reply's length is wrong: {frame_error.text}", reply.id)
                 if self.reader.mid_header:
@@ -151,6 +152,10 @@
             self._unconfirmed = None
         return replies, frame_error
 
+    def _may_be_cut_off(self, now: int, reply: Reply) -> bool:
+        """Whether bytes that are no frame, behind this reply, could belong to it or to the next one."""
+        return self.reader.rest_could_continue_value or self._others_wait(now, reply.id)
+
     def _others_wait(self, now: int, part: bytes) -> bool:
         """Whether the node may have had other parts of this connection to answer when it answered ``part``.
 
--- a/quincepath/platform/frames.py
+++ b/quincepath/platform/frames.py
@@ -13,6 +13,8 @@
 HEADER_BYTES = 5  # length and type letter
 MAX_FRAME_BYTES = 64 * 1024  # after the length, in one frame from a node
 MAX_LINE_BYTES = 1024  # of a reply's header line
+PRINTABLE_ASCII = range(0x20, 0x7F)
+UTF8_LEADING_BYTES = range(0xC2, 0xF5)  # of a character of more than one byte
 _LINE = re.compile(rb"([!-~]{1,256}) (good|bad|later) (-?[0-9]{1,24}) ([^\n]+)")
 
 
@@ -97,6 +99,13 @@
         """Whether the header of a frame has begun and not ended."""
         return 0 < len(self._buffer) < HEADER_BYTES
 
+    @property
+    def rest_could_continue_value(self) -> bool:
+        """Whether the bytes behind the last reply could be the end of its value: they begin a character."""
+        return bool(self._buffer) and (
+            self._buffer[0] in PRINTABLE_ASCII or self._buffer[0] in UTF8_LEADING_BYTES
+        )
+
     def feed(self, data: bytes) -> None:
         """Parse more bytes; raises ``FrameError``."""
         buffer = self._buffer
@@ -123,9 +132,16 @@
                     return
                 self.replies.append(self._reply(match, bytes(buffer[line + 1 : end])))
                 at = end
+            self._check_header_start(at)
         finally:
             del buffer[:at]
 
+    def _check_header_start(self, at: int) -> None:
+        """Reject a header of which only the first bytes have arrived, as soon as they show its length."""
+        start = self._buffer[at : at + LENGTH.size]
+        if len(start) > 2 and start[2] > MAX_FRAME_BYTES >> 16:
+            raise FrameHeaderError(f"a frame of over {MAX_FRAME_BYTES} bytes")
+
     def _header(self, at: int) -> tuple[int, int]:
         """Length and type letter of the frame that begins at ``at``."""
         size: int = LENGTH.unpack_from(self._buffer, at)[0]
