Tests: each test process takes its ports from a block of its own

Seen: test_sighup_beside_sigterm_moves_discovery_and_the_process_still_ends[together] failed once in a run with six workers: "listen 127.0.0.1:25258: Address already in use". Cause: ports were probed, given back and bound up to some 100 ms later, all workers drawing from the same range; the fleet's tests took ports that the system also gives to outgoing connections. Change: tests/standins/ports.py: below the range of outgoing connections, a block of 200 a process, kept by a file lock, so that other test runs on the machine keep out too. The two older ways are gone. The collision itself was not reproduced; the log line names it.

--- a/tests/fleet/distribution/processes.py
+++ b/tests/fleet/distribution/processes.py
@@ -16,7 +16,8 @@
 from quincepath.lab.demo import demo_config, make_cluster
 from quincepath.lab.process import PROGRAM, ChildProcess
 from quincepath.standins.record import Got, read
-from tests.test_fleet_processes import free_ports, until
+from tests.standins.ports import free_ports
+from tests.test_fleet_processes import until
 
 MEMBERS = [f"m{number}" for number in range(8)]
 VOTERS = MEMBERS[:3]
--- a/tests/standins/agent.py
+++ b/tests/standins/agent.py
@@ -7,7 +7,7 @@
 
 from quincepath.net.loop import READ, Loop
 from quincepath.net.stream import Stream
-from tests.standins.platform import free_port
+from tests.standins.ports import free_port
 
 MS = 1_000_000
 SECOND = 1000 * MS
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -5,7 +5,6 @@
 """
 
 import json
-import random
 import socket
 import struct
 from collections import defaultdict
@@ -24,13 +23,13 @@
 from quincepath.platform.service import Broker
 from quincepath.platform.targets import Target, TargetList
 from quincepath.policy import Aggregator
+from tests.standins.ports import free_port
 
 MS = 1_000_000
 SECOND = 1000 * MS
 WORK_NS = 5 * MS
 TIMES = Timeouts(60 * SECOND, 60 * SECOND, 60 * SECOND)
 ID = "s-%08x"
-PORTS = random.SystemRandom()  # differs between tests that run in parallel
 
 
 def frame(letter: bytes, rest: bytes) -> bytes:
@@ -227,17 +226,6 @@
     return read_configuration(json.dumps(document).encode(), {"BALANCER_CONFIG": "config.json"})
 
 
-def free_port() -> int:
-    """A port below the range of ephemeral ports: one of those could be used by an outgoing connection of a
-    parallel test by the time the broker listens."""
-    while True:
-        try:
-            with socket.create_server(("127.0.0.1", PORTS.randrange(20_000, 32_000))) as probe:
-                return int(probe.getsockname()[1])
-        except OSError:  # taken
-            continue
-
-
 class Client:
     """One connection to the broker; ``data`` is all that was received, ``ended`` why it closed, if it did."""
 
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -13,7 +13,8 @@
 
 import pytest
 
-from tests.standins.platform import free_port, platform_settings
+from tests.standins.platform import platform_settings
+from tests.standins.ports import free_port
 
 ROOT = Path(__file__).parent.parent
 DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
--- a/tests/test_fleet_drains.py
+++ b/tests/test_fleet_drains.py
@@ -17,8 +17,9 @@
 from quincepath.lab.demo import demo_config, make_cluster
 from quincepath.lab.process import ChildProcess
 from quincepath.standins.record import Got, read
+from tests.standins.ports import free_ports
 from tests.test_config import VALID_CONFIG
-from tests.test_fleet_processes import FLEET, ask, free_ports, phases, until
+from tests.test_fleet_processes import FLEET, ask, phases, until
 
 MS = 1_000_000
 SECOND = 1000 * MS
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -6,7 +6,6 @@
 
 import json
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -29,6 +28,7 @@
 from quincepath.lab.fleet.verdict import EXCUSED_FOR, SECOND, Watcher
 from quincepath.lab.process import ChildProcess
 from quincepath.standins.record import Halt, Mark, read
+from tests.standins.ports import free_ports
 from tests.test_config import VALID_CONFIG
 
 HALVES = [["b0", "b1", "b2"], ["b3", "b4", "b5", "b6"]]
@@ -124,15 +124,6 @@
 # --- a fleet without a relay, seen through the operators' interfaces ---
 
 
-def free_ports(count: int) -> list[int]:
-    """Ports that were free just now."""
-    socks = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [int(sock.getsockname()[1]) for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
-
-
 class ThreeBrokers:
     """Three brokers with the same list of peers."""
 
--- a/tests/test_fleet_transport.py
+++ b/tests/test_fleet_transport.py
@@ -11,7 +11,7 @@
 from quincepath.fleet.view.facts import Phase, ViewSettings
 from quincepath.net.loop import Loop
 from quincepath.net.stream import Stream
-from tests.test_fleet_processes import free_ports
+from tests.standins.ports import free_ports
 
 MAX_WAIT_S = 20.0
 
