Frames: a reply of an unusual length is held back until what follows shows its length

Cause: the first piece ended just where the wrong length says; nothing was behind the reply in that read, so it was matched, and the bytes that contradict it came with the next one. Change: platform/reply_evidence.py (pure): a value shorter or longer than all accepted before waits for half a dial timeout; where values differ in length, each reply of a node whose replies come in pieces waits for twice its longest gap of the last 10 to 20 s. What follows decides: bytes that begin a frame, bytes that do not, the orderly end, or nothing. Usual replies are not delayed. Counter held_back. A rejection that carries a value is held back as well.

--- a/quincepath/net/server.py
+++ b/quincepath/net/server.py
@@ -14,7 +14,7 @@
 from quincepath.net.closing import State
 from quincepath.net.http1 import HttpError, Limits, Request, RequestReader, response_head
 from quincepath.net.loop import Loop
-from quincepath.net.stream import Listener, Stream
+from quincepath.net.stream import CLEAN_END, Listener, Stream
 
 SWEEP_INTERVAL_NS = 250_000_000  # between checks for connections past a timeout
 MAX_LINGER_BYTES = 1024 * 1024  # read and discarded from a client that was sent its last answer
@@ -156,7 +156,7 @@
         next_byte = self.stream.peek()
         if next_byte == b"":
             self.server.counts["gone_before_taken"] += 1
-            self.stream.fail("end of stream")
+            self.stream.fail(CLEAN_END)
         return next_byte is None  # pending input is read first, in the next turn
 
     def _on_drained(self) -> None:
@@ -330,7 +330,7 @@
         for connection in [item for item in self.connections if item.current is not None]:
             if not connection.closing and connection.stream.peer_closed():
                 self.counts["gone_unseen"] += 1
-                connection.stream.fail("end of stream")
+                connection.stream.fail(CLEAN_END)
 
     def _accept(self, sock: socket.socket) -> None:
         self.counts["accepted"] += 1
--- a/quincepath/net/stream.py
+++ b/quincepath/net/stream.py
@@ -16,6 +16,7 @@
 ACCEPT_BACKLOG = 1024  # connections queued by the system until they are accepted
 MAX_ACCEPTS_PER_TURN = 64
 MAX_FINAL_READS = 8  # before closing at a limit: 2 MiB, more than a receive buffer commonly holds
+CLEAN_END = "end of stream"  # the reason of a close by the peer's orderly end
 ACCEPT_PAUSE_NS = 100_000_000  # pause of a listener after accepting failed for lack of descriptors
 
 
@@ -188,7 +189,7 @@
             elif size:
                 self._on_data(bytes(_READ_BUFFER[:size]))
             else:
-                self._lost("end of stream")
+                self._lost(CLEAN_END)
 
     def _flush(self) -> None:
         try:
--- a/quincepath/platform/connection.py
+++ b/quincepath/platform/connection.py
@@ -8,11 +8,12 @@
 
 from quincepath.interface import NodeId
 from quincepath.net.dial import CONNECT_TIMED_OUT, Dial, describe_connect_error
-from quincepath.net.loop import Loop
-from quincepath.net.stream import Stream
-from quincepath.platform.connection_state import ConnectionState, ConnectionTimeouts
+from quincepath.net.loop import Loop, Timer
+from quincepath.net.stream import CLEAN_END, Stream
+from quincepath.platform.connection_state import ConnectionState, ConnectionTimeouts, Matched
 from quincepath.platform.frames import MAX_FRAME_BYTES, CallPart, FrameError, Reply, call_frame, cancel_frame
 from quincepath.platform.outgoing import OutgoingAttempt, OutgoingFrame
+from quincepath.platform.reply_evidence import ReplyEvidence
 from quincepath.upstream.outcomes import CallEnd, CallOutcome, transport_outcome
 
 MS = 1_000_000
@@ -25,6 +26,7 @@
     streams: int
     timeouts: ConnectionTimeouts
     counts: Counter[str]
+    reply_evidence: ReplyEvidence
     on_event: Callable[[str, NodeId, str], None]
 
     def on_reply(self, attempt: OutgoingAttempt, reply: Reply) -> None:
@@ -49,7 +51,10 @@
 
     def __init__(self, owner: Owner, node: NodeId, address: tuple[str, int]) -> None:
         self.owner, self.node, self.address = owner, node, address
-        self.state = ConnectionState(owner.streams, owner.timeouts, owner.loop.now)
+        self.state = ConnectionState(
+            owner.streams, owner.timeouts, owner.loop.now, node, owner.reply_evidence
+        )
+        self._confirm_timer: Timer | None = None
         self.queue: deque[OutgoingFrame] = deque()
         self.sending: OutgoingFrame | None = None  # partly accepted by the operating system
         self.stream: Stream | None = None
@@ -162,13 +167,28 @@
         return True
 
     def _on_data(self, data: bytes) -> None:
-        replies, frame_error = self.state.receive(self.owner.loop.now, data)
-        for attempt, reply in replies:
-            assert isinstance(attempt, OutgoingAttempt)
-            self.owner.on_reply(attempt, reply)
+        matched, frame_error = self.state.receive(self.owner.loop.now, data)
+        self._set_confirm_timer()
+        self._on_matched(matched)
         if frame_error is not None:
             self.on_frame_error(frame_error)
 
+    def _on_matched(self, matched: Matched) -> None:
+        for attempt, reply in matched:
+            assert isinstance(attempt, OutgoingAttempt)
+            self.owner.on_reply(attempt, reply)
+
+    def _set_confirm_timer(self) -> None:
+        """Deliver a reply that is held back when its time is over."""
+        if self._confirm_timer is not None:
+            self._confirm_timer.cancel()
+            self._confirm_timer = None
+        if self.state.confirm_at is not None:
+            self.owner.counts["held_back"] += 1
+            self._confirm_timer = self.owner.loop.call_at(
+                self.state.confirm_at, lambda: self._on_matched(self.state.confirm(self.owner.loop.now))
+            )
+
     def on_frame_error(self, frame_error: FrameError) -> None:
         """The bytes received are invalid: their attempt failed, the others end with the connection."""
         self.owner.counts["spoilt"] += 1
@@ -183,6 +203,8 @@
         self.end_all(unsent, transport_outcome(CallEnd.CLOSED_AFTER_BAD_ANSWER, frame_error.text))
 
     def _on_lost(self, text: str) -> None:
+        if text == CLEAN_END:
+            self._on_matched(self.state.end(self.owner.loop.now))
         self.end_all(transport_outcome(CallEnd.LOST_UNSENT, text), transport_outcome(CallEnd.LOST, text))
 
     def end_all(self, unsent: CallOutcome, sent: CallOutcome, reset: bool = False) -> None:
@@ -221,6 +243,8 @@
     def _detach(self) -> None:
         if not self.closed:
             self.closed = True
+            if self._confirm_timer is not None:
+                self._confirm_timer.cancel()
             self.state.in_flight.clear()
             self.queue.clear()
             self.owner.detach(self)
--- a/quincepath/platform/connection_state.py
+++ b/quincepath/platform/connection_state.py
@@ -11,13 +11,15 @@
 frame. Only the bytes behind it show that, because no frame begins there. So a reply with bytes behind it is
 matched once those begin a frame, and is invalid if they do not. There is one exception: a node may send noise
 behind a valid reply when nothing else waits on the connection. Values are printable text, so noise that could
-not be the end of the value leaves the reply valid then.
+not be the end of the value leaves the reply valid then. A reply that nothing follows yet is held back for a
+moment where earlier replies give a reason (``ReplyEvidence``).
 """
 
 from collections.abc import Hashable
 from dataclasses import dataclass
 
 from quincepath.platform.frames import FrameError, FrameHeaderError, FrameReader, Reply
+from quincepath.platform.reply_evidence import ReplyEvidence
 
 NEVER_NS = 1 << 62  # a time that is never reached
 MAX_CANCELLED_SHARE = 0.5  # of the capacity; with more unanswered cancelled ids the connection is retired
@@ -39,17 +41,32 @@
     idle: int
 
 
-class ConnectionState:
-    """One connection. Keys are the caller's own names of attempts."""
+Matched = list[tuple[Hashable, Reply]]  # the caller's names of attempts, and their replies
+
 
-    def __init__(self, capacity: int, timeouts: ConnectionTimeouts, now: int) -> None:
-        self.capacity, self.timeouts = max(capacity, 1), timeouts
+class ConnectionState:
+    """One connection to ``node``. Keys are the caller's own names of attempts.
+
+    ``confirm_at`` is set while a whole reply is held back: ``confirm`` is to be called at that time.
+    """
+
+    def __init__(
+        self,
+        capacity: int,
+        timeouts: ConnectionTimeouts,
+        now: int,
+        node: Hashable = b"",
+        evidence: ReplyEvidence | None = None,
+    ) -> None:
+        self.capacity, self.timeouts, self.node = max(capacity, 1), timeouts, node
+        self.evidence = evidence or ReplyEvidence()
+        self.confirm_at: int | None = None
         self.reader = FrameReader()
         self.in_flight: dict[bytes, Hashable] = {}
         self.cancelled: set[bytes] = set()
         self.answered: dict[bytes, int] = {}  # answered ids, and from when on they may be sent again
         self.retired = False
-        self._unconfirmed: Reply | None = None  # whole, but the bytes behind it do not make a header yet
+        self._unconfirmed: Reply | None = None  # whole, but the bytes behind it make no header yet
         self._last_cancelled_at: int | None = None
         self.used_at = now  # when bytes were last sent or received
         self.received_at = now  # when bytes were last received
@@ -114,29 +131,71 @@
         part = b"" if self._unconfirmed is None else self._unconfirmed.id
         return FrameError("a reply that began does not go on", part)
 
-    def receive(self, now: int, data: bytes) -> tuple[list[tuple[Hashable, Reply]], FrameError | None]:
+    def receive(self, now: int, data: bytes) -> tuple[Matched, FrameError | None]:
         """Replies by attempt, and the error in the bytes after them, if there is one."""
         replies, frame_error = self._read(now, data)
-        matched: list[tuple[Hashable, Reply]] = []
+        matched: Matched = []
         for position, reply in enumerate(replies, 1):
-            if position == len(replies) and self._may_be_cut_off(now, reply):
-                if isinstance(frame_error, FrameHeaderError):
+            if position == len(replies):
+                if isinstance(frame_error, FrameHeaderError) and self._may_be_cut_off(now, reply):
                     return matched, FrameError(f"a reply's length is wrong: {frame_error.text}", reply.id)
-                if self.reader.mid_header:
-                    self._unconfirmed = reply
+                if frame_error is None and self._held_back(now, reply):
                     break
-            if reply.id in self.in_flight:
-                matched.append((self.in_flight.pop(reply.id), reply))
-                self._remember_answered(now, reply)
-            elif reply.id in self.cancelled:
-                self.cancelled.discard(reply.id)
-                self.answered[reply.id] = NEVER_NS
-            elif reply.id not in self.answered:  # a duplicate reply is harmless
+            if not self._match(now, reply, matched):
                 return matched, frame_error or FrameError("a reply to a part that was never sent here")
         return matched, frame_error
 
+    def confirm(self, now: int) -> Matched:
+        """The reply that was held back, if its time is over and no bytes have arrived behind it meanwhile."""
+        if self.confirm_at is None or now < self.confirm_at:
+            return []
+        return self._release(now)
+
+    def end(self, now: int) -> Matched:
+        """The node has ended the connection in order: nothing can follow a whole reply that was held back."""
+        return [] if self.confirm_at is None else self._release(now)
+
+    def _release(self, now: int) -> Matched:
+        reply, self._unconfirmed, self.confirm_at = self._unconfirmed, None, None
+        matched: Matched = []
+        if reply is not None:
+            self._match(now, reply, matched)
+        return matched
+
+    def _match(self, now: int, reply: Reply, matched: Matched) -> bool:
+        """Match one reply to its attempt, if it still waits; returns whether its part was sent here."""
+        if reply.id in self.in_flight:
+            matched.append((self.in_flight.pop(reply.id), reply))
+            self._remember_answered(now, reply)
+            if reply.status == b"good":
+                self.evidence.observe_value(len(reply.value))
+        elif reply.id in self.cancelled:
+            self.cancelled.discard(reply.id)
+            self.answered[reply.id] = NEVER_NS
+        else:
+            return reply.id in self.answered  # a duplicate reply is harmless
+        return True
+
+    def _held_back(self, now: int, reply: Reply) -> bool:
+        """Keep a reply whose length may be wrong until the bytes behind it, or their absence, show that."""
+        if self.reader.mid_header:
+            if self._may_be_cut_off(now, reply):
+                self._unconfirmed = reply
+        elif not self.reader.mid_frame and reply.id in self.in_flight:
+            hold = self._hold_time(now, reply)
+            if hold:
+                self._unconfirmed, self.confirm_at = reply, now + hold
+        return self._unconfirmed is not None
+
+    def _hold_time(self, now: int, reply: Reply) -> int:
+        longest_hold = int(STALLED_REPLY_DIAL_TIMEOUTS * self.timeouts.dial)
+        if reply.status != b"good":
+            return longest_hold if reply.value else 0
+        return self.evidence.hold_time(now, self.node, len(reply.value), longest_hold)
+
     def _read(self, now: int, data: bytes) -> tuple[list[Reply], FrameError | None]:
         """The replies that are whole, a formerly unconfirmed one first, and the error after them, if any."""
+        gap = now - self.received_at
         self.used_at = self.received_at = self.waiting_since = now
         was_mid_frame = self.reader.mid_frame
         frame_error: FrameError | None = None
@@ -145,16 +204,22 @@
         except FrameError as error:
             frame_error = error
         replies, self.reader.replies = self.reader.replies, []
+        if replies and was_mid_frame:
+            self.evidence.observe_gap(now, self.node, gap)
         if replies or not was_mid_frame:
             self.reply_since = now  # of the partial reply, if any, at the end of these bytes
         if self._unconfirmed is not None:
             replies.insert(0, self._unconfirmed)
-            self._unconfirmed = None
+            self._unconfirmed = self.confirm_at = None
         return replies, frame_error
 
     def _may_be_cut_off(self, now: int, reply: Reply) -> bool:
         """Whether bytes that are no frame, behind this reply, could belong to it or to the next one."""
-        return self.reader.rest_could_continue_value or self._others_wait(now, reply.id)
+        return (
+            self.reader.rest_could_continue_value
+            or self._others_wait(now, reply.id)
+            or self._hold_time(now, reply) > 0
+        )
 
     def _others_wait(self, now: int, part: bytes) -> bool:
         """Whether the node may have had other parts of this connection to answer when it answered ``part``.
--- a/quincepath/platform/discovery.py
+++ b/quincepath/platform/discovery.py
@@ -8,7 +8,8 @@
 from quincepath.net.dial import Dial, describe_connect_error
 from quincepath.net.http1 import HttpError, Limits, Response, request_bytes
 from quincepath.net.loop import Loop, Timer
-from quincepath.platform.discovery_call import CLEAN_END, Call, CallConnection
+from quincepath.net.stream import CLEAN_END
+from quincepath.platform.discovery_call import Call, CallConnection
 from quincepath.platform.list_timing import MAX_LATE_CALLS, MAX_RESPONSE_NS, ResponseTimes, retry_delay
 
 MAX_BODY_BYTES = 1024 * 1024
--- a/quincepath/platform/discovery_call.py
+++ b/quincepath/platform/discovery_call.py
@@ -9,9 +9,6 @@
 from quincepath.net.stream import Stream
 from quincepath.platform.list_timing import MS
 
-# How a stream reports that its peer closed it on purpose; a reset has other texts.
-CLEAN_END = "end of stream"
-
 
 @dataclass(slots=True, frozen=True)
 class Call:
--- a/quincepath/platform/nodes.py
+++ b/quincepath/platform/nodes.py
@@ -10,6 +10,7 @@
 from quincepath.platform.connection_state import ConnectionTimeouts
 from quincepath.platform.frames import Reply, read_report
 from quincepath.platform.outgoing import Key, OutgoingAttempt, OutgoingFrame
+from quincepath.platform.reply_evidence import ReplyEvidence
 from quincepath.upstream.outcomes import CallEnd, CallOutcome, transport_outcome
 
 MS = 1_000_000
@@ -50,6 +51,7 @@
         self.closing: set[Connection] = set()  # accept no more work, their last bytes are in transit
         self.in_flight: dict[Key, OutgoingAttempt] = {}
         self.counts: Counter[str] = Counter()
+        self.reply_evidence = ReplyEvidence()
         self._sweep()
 
     def start(self, order: StartCall) -> None:
