HTTP server: the client connection has a module of its own

Change: Exchange, Timeouts and ClientConnection move to net/client_connection.py, which names what it needs of its server as a protocol (ConnectionOwner); importers name the module that defines what they use. No statement changed.

--- a/benchmarks/capacity/sockets.py
+++ b/benchmarks/capacity/sockets.py
@@ -15,9 +15,10 @@
 from benchmarks.capacity.peers import child, first_line
 from benchmarks.capacity.results import Evidence, Point
 from benchmarks.capacity.site import MS, REPLICAS, SECOND, configuration, list_body, node_entry
+from quincepath.net.client_connection import Exchange, Timeouts
 from quincepath.net.http1 import Limits
 from quincepath.net.loop import READ, Loop
-from quincepath.net.server import Exchange, HttpServer, Timeouts
+from quincepath.net.server import HttpServer
 from quincepath.orders import AttemptEnded, AttemptOrder, StartCall
 from quincepath.platform.connection_state import ConnectionTimeouts
 from quincepath.platform.nodes import NodePool
--- a/benchmarks/slow_discovery.py
+++ b/benchmarks/slow_discovery.py
@@ -39,8 +39,9 @@
     """A list service; ``delay`` is the time that each response takes, ``lost`` the share never answered."""
 
     def __init__(self, loop: Any, delay: int, lost: float, dice: random.Random) -> None:
+        from quincepath.net.client_connection import Timeouts
         from quincepath.net.http1 import Limits
-        from quincepath.net.server import HttpServer, Timeouts
+        from quincepath.net.server import HttpServer
 
         self.loop, self.delay, self.lost, self._dice = loop, delay, lost, dice
         self.version, self.calls = 1, 0
--- a/benchmarks/throughput.py
+++ b/benchmarks/throughput.py
@@ -38,9 +38,10 @@
 from quincepath.interface import Result
 from quincepath.lab.load import Client, QueryPlan, QueryResult
 from quincepath.membership.source import node_id
+from quincepath.net.client_connection import Exchange, Timeouts
 from quincepath.net.http1 import Limits, Request, Response
 from quincepath.net.loop import Loop
-from quincepath.net.server import Exchange, HttpServer, Timeouts
+from quincepath.net.server import HttpServer
 from quincepath.observe.logs import setup
 from quincepath.orders import Ask, AttemptEnded, AttemptOrder, Finish, PartRequest, StartCall, Verdict
 from quincepath.shards.shardmap import ShardMap
--- a/quincepath/broker/service/clients.py
+++ b/quincepath/broker/service/clients.py
@@ -20,8 +20,8 @@
 )
 from quincepath.fronts.remote_read.plan import BadRequest, Plan
 from quincepath.limits.gate import Rejection
+from quincepath.net.client_connection import Exchange
 from quincepath.net.loop import Loop
-from quincepath.net.server import Exchange
 from quincepath.observe.metrics import Metrics
 from quincepath.observe.traces import TRACE_HEADER
 from quincepath.orders import Ask, Finish, Verdict
--- a/quincepath/broker/service/core.py
+++ b/quincepath/broker/service/core.py
@@ -16,9 +16,10 @@
 from quincepath.fronts.remote_read.front import RemoteReadFront, Reply
 from quincepath.interface import Members, Settings
 from quincepath.membership.source import MembershipSource
+from quincepath.net.client_connection import Exchange, Timeouts
 from quincepath.net.http1 import Limits
 from quincepath.net.loop import Loop
-from quincepath.net.server import Exchange, HttpServer, Timeouts
+from quincepath.net.server import HttpServer
 from quincepath.observe.logs import logger
 from quincepath.observe.metrics import Metrics
 from quincepath.orders import MembershipUpdate
--- a/quincepath/broker/service/extension.py
+++ b/quincepath/broker/service/extension.py
@@ -10,7 +10,7 @@
 from quincepath.fronts.remote_read.front import Reply
 from quincepath.fronts.remote_read.plan import Plan
 from quincepath.limits.gate import Rejection
-from quincepath.net.server import Exchange
+from quincepath.net.client_connection import Exchange
 from quincepath.orders import Ask, AttemptEnded, StartCall
 
 
--- a/quincepath/broker/service/fleet.py
+++ b/quincepath/broker/service/fleet.py
@@ -15,8 +15,8 @@
 from quincepath.fleet.consensus.entries import StableState
 from quincepath.fleet.consensus.storage import Storage
 from quincepath.fleet.service import Fleet
+from quincepath.net.client_connection import Exchange
 from quincepath.net.loop import Loop
-from quincepath.net.server import Exchange
 
 if TYPE_CHECKING:
     from quincepath.broker.fair_pending import FairPendingQueue
--- a/quincepath/fleet/configuration_requests.py
+++ b/quincepath/fleet/configuration_requests.py
@@ -16,7 +16,7 @@
 from quincepath.fleet.configuration.history import Answer
 from quincepath.fleet.distribution import Distribution
 from quincepath.fleet.replicated_log import ReplicatedLog
-from quincepath.net.server import Exchange
+from quincepath.net.client_connection import Exchange
 
 PREFIX = "/fleet/config/"
 JSON = {"Content-Type": "application/json"}
--- a/quincepath/fleet/service.py
+++ b/quincepath/fleet/service.py
@@ -26,8 +26,8 @@
 from quincepath.fleet.view.core import Drain, Leave, OperatorNotice, View
 from quincepath.fleet.view.facts import Change, Phase, ViewSettings
 from quincepath.membership.state import HolderInfo
+from quincepath.net.client_connection import Exchange
 from quincepath.net.loop import Loop
-from quincepath.net.server import Exchange
 
 if TYPE_CHECKING:
     from quincepath.fleet.configuration.commands import ChangeConfiguration
--- a/quincepath/platform/service.py
+++ b/quincepath/platform/service.py
@@ -13,9 +13,10 @@
 from quincepath.broker.driver import DecisionModule, Driver
 from quincepath.interface import Members, NodeId, Phase, Scope, Settings
 from quincepath.limits.gate import AdmissionGate, Bounds
+from quincepath.net.client_connection import ClientConnection, Exchange, Timeouts
 from quincepath.net.http1 import Limits
 from quincepath.net.loop import Loop, Timer
-from quincepath.net.server import ClientConnection, Exchange, HttpServer, Timeouts
+from quincepath.net.server import HttpServer
 from quincepath.orders import (
     AttemptEnded,
     Breach,
--- a/quincepath/platform/status.py
+++ b/quincepath/platform/status.py
@@ -4,8 +4,9 @@
 from typing import Any, Protocol
 
 from quincepath.broker.driver import Driver
+from quincepath.net.client_connection import Exchange
 from quincepath.net.loop import Loop
-from quincepath.net.server import Exchange, HttpServer
+from quincepath.net.server import HttpServer
 from quincepath.platform.nodes import NodePool
 from quincepath.platform.targets import TargetTable
 
--- a/quincepath/standins/leaf.py
+++ b/quincepath/standins/leaf.py
@@ -14,9 +14,10 @@
 from quincepath.fronts.remote_read.codec import HEADERS, CodecError, decode_request, encode
 from quincepath.fronts.remote_read.matchers import MatcherError
 from quincepath.fronts.remote_read.remote_pb2 import Query, ReadRequest
+from quincepath.net.client_connection import ClientConnection, Exchange, Timeouts
 from quincepath.net.http1 import Limits, Request, response_head
 from quincepath.net.loop import Loop, Timer
-from quincepath.net.server import ClientConnection, Exchange, HttpServer, Timeouts
+from quincepath.net.server import HttpServer
 from quincepath.standins.data import Store
 from quincepath.standins.model import Job, Server, ServerConfig, State
 from quincepath.standins.random_streams import RandomStream
--- a/tests/fleet/distribution/virtual_fleet.py
+++ b/tests/fleet/distribution/virtual_fleet.py
@@ -18,8 +18,8 @@
 from quincepath.fleet.service import Fleet
 from quincepath.lab.demo import demo_config
 from quincepath.lab.virtual_loop import ExactLoop
+from quincepath.net.client_connection import Exchange
 from quincepath.net.http1 import Request
-from quincepath.net.server import Exchange
 
 SHARDS = {"a": ["s0", "s1"], "b": ["s2", "s3"], "c": ["s4", "s5"]}
 REGIONS = ("east", "west")
--- a/tests/platform/test_client_disconnect.py
+++ b/tests/platform/test_client_disconnect.py
@@ -5,8 +5,8 @@
 
 import pytest
 
+from quincepath.net.client_connection import MAX_DISCARDED_BYTES
 from quincepath.net.http1 import MAX_PIPELINED_REQUESTS
-from quincepath.net.server import MAX_DISCARDED_BYTES
 from quincepath.net.stream import READ_CHUNK_BYTES
 from tests.standins.platform import MS, PlatformHarness
 from tests.standins.sockets import connect, peer_of, read_all
--- a/tests/platform/test_closing.py
+++ b/tests/platform/test_closing.py
@@ -10,8 +10,9 @@
 import pytest
 
 from quincepath.lab.virtual_loop import VirtualLoop
+from quincepath.net.client_connection import ClientConnection, Exchange, Timeouts
 from quincepath.net.http1 import Limits
-from quincepath.net.server import ClientConnection, Exchange, HttpServer, Timeouts
+from quincepath.net.server import HttpServer
 from quincepath.net.stream import Listener
 from quincepath.platform import descriptors
 from tests.standins.platform import MS, SECOND, PlatformHarness
--- a/tests/standins/list_service.py
+++ b/tests/standins/list_service.py
@@ -8,9 +8,10 @@
 import json
 from typing import Any
 
+from quincepath.net.client_connection import Exchange
 from quincepath.net.http1 import Limits
 from quincepath.net.loop import Loop
-from quincepath.net.server import Exchange, HttpServer
+from quincepath.net.server import HttpServer
 from tests.standins.platform import TIMES
 
 MS = 1_000_000
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -15,9 +15,10 @@
 from quincepath.broker.driver import DecisionModule
 from quincepath.interface import Phase, Settings
 from quincepath.lab.virtual_loop import VirtualLoop
+from quincepath.net.client_connection import Exchange, Timeouts
 from quincepath.net.http1 import Limits
 from quincepath.net.loop import Loop
-from quincepath.net.server import Exchange, HttpServer, Timeouts
+from quincepath.net.server import HttpServer
 from quincepath.net.stream import Listener, Stream
 from quincepath.platform.config import Configuration, read_configuration
 from quincepath.platform.service import Broker
--- a/tests/standins/sockets.py
+++ b/tests/standins/sockets.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from quincepath.net.server import ClientConnection
+from quincepath.net.client_connection import ClientConnection
 from tests.standins.platform import PlatformHarness
 
 
--- a/tests/test_extensions.py
+++ b/tests/test_extensions.py
@@ -9,7 +9,7 @@
 from quincepath.fronts.remote_read.front import Reply
 from quincepath.fronts.remote_read.plan import Plan
 from quincepath.limits.gate import Rejection
-from quincepath.net.server import Exchange
+from quincepath.net.client_connection import Exchange
 from quincepath.orders import AttemptEnded, StartCall
 from tests.world import SECOND, World
 
