Driver: a query that is over does not wait for a garbage collection with what it carried

Seen: with valid requests of 60 kB from 590 clients and nodes that hang, a broker with 32 MB held 39 MB (resident) although few queries were open. Found while the memory of hundreds of clients was looked at. Cause: a query and its parts refer to each other, so a refused query kept its predicate (up to 16 KB) until a whole garbage collection, which comes after some 100,000 net allocations: about a thousand queries. Change: Driver._close drops the list of parts; what still has attempts out is found by its id.

--- a/quincepath/broker/driver/core.py
+++ b/quincepath/broker/driver/core.py
@@ -364,6 +364,7 @@
             self._withdraw(part)
             if not part.in_flight():
                 self._finished_parts.append(part.id)
+        query.parts = []  # breaks the cycle with its parts, which are freed without a garbage collection
         if query.sent_at != self.now:
             return
         # Sends of this batch for a query that ended later in the same batch must not go out.
