HTTP: a message has at most 100 header lines

Need: a head of 8 KB can hold over 1,300 short fields, each some 200 bytes of Python objects: a quarter of a megabyte for one head, times 16 requests sent ahead, times hundreds of connections. Operators name heads of very many short fields. Cause: only the bytes of header lines were limited. Change: Limits.header_lines (100); more are answered with 431. Usual requests have about ten. Tests: test_a_request_has_a_limited_number_of_header_lines (200 lines) failed before: served with 200. test_header_size_includes_separators sets the new limit aside and asks for the message of the limit it is about.

--- a/quincepath/net/http1.py
+++ b/quincepath/net/http1.py
@@ -25,10 +25,11 @@
 
 @dataclass(slots=True, frozen=True)
 class Limits:
-    """Size limits in bytes; ``headers`` applies to all header lines of one message."""
+    """Size limits in bytes, and of header lines; ``headers`` applies to all header lines of one message."""
 
     headers: int = 32 * 1024
     body: int = 8 * 1024 * 1024
+    header_lines: int = 100  # of one message; each takes far more memory than its text
 
 
 @dataclass(slots=True)
@@ -70,6 +71,7 @@
     def _reset(self) -> None:
         self._headers: dict[str, str] = {}
         self._header_bytes = 0
+        self._header_lines = 0
         self._body = bytearray()  # one buffer: a list of two-byte chunks would take 20 times the body's size
 
     def _fail(self, status: int, text: str) -> None:
@@ -84,6 +86,9 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._unreported_bytes = 0
+        self._header_lines += 1
+        if self._header_lines > self.limits.header_lines:
+            self._fail(431, f"headers of more than {self.limits.header_lines} lines")
         self._header_bytes += len(name) + len(value) + HEADER_OVERHEAD_BYTES
         if self._header_bytes > self.limits.headers:
             self._fail(431, f"headers of more than {self.limits.headers} bytes")
--- a/tests/platform/test_floods.py
+++ b/tests/platform/test_floods.py
@@ -94,12 +94,24 @@
 
 def test_header_size_includes_separators() -> None:
     """Thousands of tiny headers of one name: joining their values one by one takes quadratic time."""
-    reader = RequestReader(Limits(headers=8 * 1024))
-    with pytest.raises(HttpError, match="headers of more than"):
+    reader = RequestReader(Limits(headers=8 * 1024, header_lines=10_000))
+    with pytest.raises(HttpError, match="headers of more than 8192 bytes"):
         reader.feed(b"GET / HTTP/1.1\r\n" + b"a:\r\n" * 3000)
     assert len(reader._headers["a"]) < 4 * 1024
 
 
+@pytest.mark.parametrize(("lines", "status"), [(89, 200), (200, 431)])
+def test_a_request_has_a_limited_number_of_header_lines(lines: int, status: int) -> None:
+    """A header of four bytes takes some two hundred of memory."""
+    harness = PlatformHarness()
+    client = connect(harness)
+    client.sendall(
+        b"GET /-/healthy HTTP/1.1\r\n" + b"".join(b"%x:\r\n" % number for number in range(lines)) + b"\r\n"
+    )
+    harness.run(0.1)
+    assert read_all(client)[0].startswith(b"HTTP/1.1 %d " % status)
+
+
 def test_a_client_that_never_reads_holds_one_response_and_is_cut_off() -> None:
     harness = PlatformHarness()
     client = connect(harness)
