HTTP server: what all clients have sent takes at most an eighth of the process's memory

Cause: each connection was bounded, the sum was not: 614 connections at 60 kB are 37 MB beside the 17 MB of a start. The body of an open request was kept until its answer. Change: limits/input_memory.py (pure) counts what each connection's reader and open request hold. Over the limit, which platform/process_memory.py derives from memory_mb, the connection that holds most gives way: 503 and a close, or, behind an open request, what was sent ahead is dropped. A body is freed when it has been read. /-/state, the log line of counters (input_kb) and the count "input shed" show it. The remote read broker sets no limit and is as before.

--- a/quincepath/net/client_connection.py
+++ b/quincepath/net/client_connection.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from quincepath.limits.input_memory import InputMemory
 from quincepath.net.closing import State
 from quincepath.net.http1 import HttpError, Limits, Request, RequestReader, response_head
 from quincepath.net.loop import Loop
@@ -52,6 +53,7 @@
     lingering: "dict[ClientConnection, None]"
     draining: bool
     keep_alive_disabled: bool
+    input_memory: "InputMemory[ClientConnection]"
 
     @property
     def handler(self) -> "Callable[[Exchange], None]":
@@ -75,6 +77,12 @@
         self.answered = False
         self.on_disconnect: Callable[[], None] | None = None
 
+    def release_body(self, retained: int) -> None:
+        """Free the request's body; the handler keeps ``retained`` bytes made from it until the answer."""
+        self.request.body = b""
+        if self.connection.current is self:
+            self.connection.on_body_released(retained)
+
     def respond(self, status: int, headers: dict[str, str], body: bytes = b"") -> bool:
         """Answer; returns false and sends nothing if already answered or the client has disconnected."""
         if self.answered or self.connection.stream.closed:
@@ -106,6 +114,7 @@
         self.valued = False  # set by the handler: it has brought work that makes it worth keeping
         self.error: HttpError | None = None
         self.bytes_after_error = 0  # received after an error that is not answered yet
+        self._open_bytes = 0  # of memory for the open request
         self._waiting_since = server.listener.waiting_since
         self._accepted_in = server.loop.turns
         self._received_at: int | None = None  # of the first queued request, if none was open when it came
@@ -149,6 +158,10 @@
             self.server.counts["flooded"] += 1
             self.stream.fail("client sent too many bytes ahead of the answer")
             return
+        self._update_input_memory()
+        self.server.input_memory.enforce(self)
+        if self.closing:
+            return
         if self.reader.wants_continue and self.current is None and self.error is None:
             self.reader.wants_continue = False
             self.stream.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -170,6 +183,8 @@
             self.asked = True
             received_at, self._received_at = self._received_at, None
             exchange = self.current = Exchange(self, request, received_at or self.server.loop.now)
+            self._open_bytes = request.memory_bytes
+            self._update_input_memory()
             self.server.counts["requests"] += 1
             self.server.handler(exchange)
         elif self.error is not None:
@@ -178,6 +193,31 @@
         elif self.reader.dropped:
             self.end("read_ahead")
 
+    # --- memory of what the client sent ---
+
+    def _update_input_memory(self) -> None:
+        self.server.input_memory.update(self, self._open_bytes + self.reader.memory_bytes)
+
+    def on_body_released(self, retained: int) -> None:
+        """The body of the open request was freed but for so many bytes."""
+        assert self.current is not None
+        self._open_bytes = self.current.request.memory_bytes + retained
+        self._update_input_memory()
+
+    @property
+    def sheddable_bytes(self) -> int:
+        """What ``shed_input`` would free."""
+        return 0 if self.closing else self.reader.memory_bytes
+
+    def shed_input(self) -> None:
+        """Give up all that was sent behind an open request; without one, answer with an error and close."""
+        self.server.counts["input shed"] += 1
+        if self.current is not None:
+            self.reader.drop_all()
+            self._update_input_memory()
+        else:
+            self._send(503, TEXT_HEADERS, b"too much sent by all clients together\n", keep_alive=False)
+
     def _still_connected(self) -> bool:
         """Before the first request: the client may have disconnected while it waited to be accepted."""
         next_byte = self.stream.peek()
@@ -197,6 +237,8 @@
     def respond(self, status: int, headers: dict[str, str], body: bytes, keep_alive: bool) -> None:
         """Send the open request's answer and proceed to the next request."""
         self.current = None
+        self._open_bytes = 0
+        self._update_input_memory()
         self.since = self.server.loop.now
         last = self.server.keep_alive_disabled or self.reader.dropped > 0 and not self.reader.done
         self._send(status, headers, body, keep_alive and not last)
@@ -217,6 +259,7 @@
             self.server.release_address_slot(self)
             self.server.lingering[self] = None
             self.reader.close()
+            self._update_input_memory()
             self.stream.finish(MAX_LINGER_BYTES, lambda: self._on_closed("finished"))
 
     @property
--- a/quincepath/net/http1.py
+++ b/quincepath/net/http1.py
@@ -9,6 +9,8 @@
 MAX_PIPELINED_REQUESTS = 16  # complete requests queued per connection; later bytes are not parsed
 PARSE_CHUNK_BYTES = 16 * 1024  # parsed at once; also the most held beyond a limit before it is noticed
 HEADER_OVERHEAD_BYTES = 4  # per header line: colon, space, CR LF
+HEADER_OBJECT_BYTES = 200  # of memory for a header besides its text: two strings and a place in a dictionary
+REQUEST_OBJECT_BYTES = 1000  # of memory for a request without headers
 
 
 class HttpError(Exception):
@@ -41,6 +43,12 @@
     headers: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
     keep_alive: bool = True
+    head_memory_bytes: int = REQUEST_OBJECT_BYTES
+
+    @property
+    def memory_bytes(self) -> int:
+        """About the memory that it takes."""
+        return self.head_memory_bytes + len(self.body)
 
     @property
     def path(self) -> str:
@@ -175,10 +183,23 @@
                 self._headers,
                 bytes(self._body),
                 self._parser.should_keep_alive(),
+                self._head_memory_bytes(),
             )
         )
         self._reset()  # a connection between requests must not keep the body of its last one
 
+    def _head_memory_bytes(self) -> int:
+        lines = self._header_lines * HEADER_OBJECT_BYTES
+        return REQUEST_OBJECT_BYTES + len(self._target) + self._header_bytes + lines
+
+    @property
+    def memory_bytes(self) -> int:
+        """About the memory that queued requests and the one being received take."""
+        queued = sum(request.memory_bytes for request in self.done)
+        if not self.busy and not self._body:
+            return queued
+        return queued + self._head_memory_bytes() + len(self._body) + self._unreported_bytes
+
     @property
     def held_bytes(self) -> int:
         """Bytes of bodies held: those of queued requests and of the one being received."""
@@ -209,12 +230,20 @@
             if self._unreported_bytes > self.limits.headers:
                 self._fail(431, f"a line of more than {self.limits.headers} bytes")
 
+    def drop_all(self) -> None:
+        """Drop the queued requests and the one being received; later bytes are only counted."""
+        self.dropped += max(self.held_bytes, 1)
+        self.close()
+        self.wants_continue = False
+
     def close(self) -> None:
         """Stop parsing and drop the queued requests: no more of them are taken from this connection.
 
         Breaks the reference cycle with the parser, so that both are freed at once.
         """
         self._parser = self.error = None
+        self.busy = False
+        self._unreported_bytes = 0
         self.done.clear()
         self._reset()
 
--- a/quincepath/net/server.py
+++ b/quincepath/net/server.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from collections.abc import Callable
 
+from quincepath.limits.input_memory import InputMemory
 from quincepath.net.client_connection import (
     STALE_TURN_NS,
     SWEEP_INTERVAL_NS,
@@ -34,7 +35,9 @@
         max_per_address: int = 0,
         enforce_limit: Callable[["HttpServer", ClientConnection], None] = lambda server, connection: None,
         on_closed: Callable[[ClientConnection], None] = lambda connection: None,
+        max_input_bytes: int = 0,
     ) -> None:
+        self.input_memory: InputMemory[ClientConnection] = InputMemory(max_input_bytes)  # 0: no limit
         self.enforce_limit = enforce_limit  # called after each new connection; may close others or this one
         self.on_closed = on_closed  # called once for each connection whose socket was closed
         self.keep_alive_disabled = False  # each answer is the last on its connection
@@ -103,6 +106,7 @@
             del self.connections[connection]
             self.lingering.pop(connection, None)
             self.release_address_slot(connection)
+            self.input_memory.update(connection, 0)
             self.on_closed(connection)
 
     def release_address_slot(self, connection: ClientConnection) -> None:
--- a/quincepath/platform/service.py
+++ b/quincepath/platform/service.py
@@ -33,7 +33,7 @@
     Verdict,
     Withdraw,
 )
-from quincepath.platform import descriptors, status
+from quincepath.platform import descriptors, process_memory, status
 from quincepath.platform.client_connections import ClientConnections
 from quincepath.platform.client_protocol import RequestError, encode_response, read_query, refusal
 from quincepath.platform.config import Address, Configuration
@@ -122,6 +122,7 @@
             ),
             connection_limits.clients + 8, self._on_accepting_paused, enforce_limit=self._enforce_limit,
             on_closed=self.client_connections.on_closed,
+            max_input_bytes=process_memory.input_limit(config.limits.memory_mb),
         )  # fmt: skip
         loop.turn_hooks.append(self._on_turn)
         loop.call_in(REPORT_INTERVAL_NS, self._report)
@@ -171,6 +172,7 @@
             exchange.respond(*refusal(rejection.cause, self._retry_after(rejection.retry_in)))
             return
         self.counts["taken"] += 1
+        exchange.release_body(len(ask.parts[0].payload))  # all parts have the same
         self.client_connections.on_query(exchange.connection)
         self.exchanges[handle] = exchange
         self.open_ids[ask.name] = handle
@@ -352,11 +354,12 @@
             pass
         log.info(
             "counts=%s attempts=%s server=%s peers=%d nodes=%d parts=%d "
-            "turn_ms=%.1f late_ms=%.1f cpu_s=%.2f rss_kb=%d",
+            "turn_ms=%.1f late_ms=%.1f cpu_s=%.2f rss_kb=%d input_kb=%d",
             dict(self.counts), dict(self.nodes.counts), dict(self.server.counts),
             len(self.server.connections), self.nodes.open_count(), len(self.driver.parts),
             self.slowest_turn / MS, self.max_lateness / MS,
             time.process_time(), pages * os.sysconf("SC_PAGE_SIZE") // 1024,
+            self.server.input_memory.total // 1024,
         )  # fmt: skip
         self.slowest_turn = self.max_lateness = 0
 
--- a/quincepath/platform/status.py
+++ b/quincepath/platform/status.py
@@ -43,7 +43,7 @@
     }  # fmt: skip
     return {
         "counts": dict(broker.counts), "attempts": dict(broker.nodes.counts),
-        "clients": len(broker.server.connections),
+        "clients": len(broker.server.connections), "input_bytes": broker.server.input_memory.total,
         "server": dict(broker.server.counts), "open": len(broker.exchanges),
         "held": broker.driver.open_count(), "lingering": broker.driver.lingering_count(),
         "out": dict(believed), "connections": connections,
