HTTP server: a client's close is seen behind what it sent, before its query goes out

Cause: Stream.peer_closed looked at the next unread byte; the end behind unread bytes is none, and a turn reads 256 KiB of a connection. Only a connection's first request was held until nothing was unread, not one sent ahead of an answer. Change: System.peer_ended reads the connection's state from the system (Linux's TCP_INFO), which has the end although bytes are unread. After a long turn what lies behind open requests is read at once, up to 16 MiB over all, as the end itself does not arrive while the receive buffer is full. A request sent ahead, or with more behind it, is taken once nothing is unread. Usual requests make no further system call.

--- a/quincepath/lab/memory_network/network.py
+++ b/quincepath/lab/memory_network/network.py
@@ -28,6 +28,10 @@
         """Not known: the network keeps no times of arrival."""
         return None
 
+    def peer_ended(self, sock: socket.socket) -> bool | None:
+        """Not known before the bytes ahead of the end are read."""
+        return None
+
     def selector(self) -> selectors.BaseSelector:
         """Make a selector for the sockets of this network."""
         return MemorySelector(self.registry)
--- a/quincepath/net/client_connection.py
+++ b/quincepath/net/client_connection.py
@@ -175,7 +175,7 @@
         if self.current is not None or self.closing or self.stream.pending:
             return
         if self.reader.done:
-            if not self.asked and not self._still_connected():
+            if (not self.asked or self._more_was_sent()) and not self._still_connected():
                 return
             request = self.reader.done.popleft()
             self.arriving = self.reader.busy or bool(self.reader.done)
@@ -218,13 +218,35 @@
         else:
             self._send(503, TEXT_HEADERS, b"too much sent by all clients together\n", keep_alive=False)
 
+    def _more_was_sent(self) -> bool:
+        """Whether the next request was sent ahead of an answer, or more was sent behind it."""
+        reader = self.reader
+        ahead = self._received_at is None or len(reader.done) > 1
+        return ahead or reader.busy or reader.dropped > 0 or self.error is not None
+
     def _still_connected(self) -> bool:
-        """Before the first request: the client may have disconnected while it waited to be accepted."""
-        next_byte = self.stream.peek()
-        if next_byte == b"":
+        """Before a request that waited here or in the backlog: its client may have disconnected meanwhile."""
+        if self.stream.peer_closed():
             self.server.counts["gone_before_taken"] += 1
             self.stream.fail(CLEAN_END)
-        return next_byte is None  # pending input is read first, in the next turn
+            return False
+        return self.stream.nothing_unread()  # pending input is read first, in the next turn
+
+    def detect_disconnect(self, max_reads: int) -> int:
+        """Close an open request's connection if its client has left; returns the number of reads this took.
+
+        What was sent behind the request is read first, as the end is behind it.
+        """
+        if self.current is None or self.closing:
+            return 0
+        left, reads = self.stream.peer_closed(), 0
+        if not left:
+            reads = self.stream.read_pending(max_reads)
+            left = reads > 0 and not self.closing and self.stream.peer_closed()
+        if left:
+            self.server.counts["gone_unseen"] += 1
+            self.stream.fail(CLEAN_END)
+        return reads
 
     def _on_drained(self) -> None:
         """Continue with pipelined requests: not from within the handler, and one request per turn.
--- a/quincepath/net/server.py
+++ b/quincepath/net/server.py
@@ -15,7 +15,9 @@
 from quincepath.net.closing import State
 from quincepath.net.http1 import Limits
 from quincepath.net.loop import Loop
-from quincepath.net.stream import CLEAN_END, Listener
+from quincepath.net.stream import Listener
+
+MAX_DISCONNECT_READS = 64  # in one turn, of what clients have sent behind open requests: 16 MiB
 
 
 class HttpServer:
@@ -83,10 +85,9 @@
         loop = self.loop
         if loop.lag + loop.clock() - loop.now < STALE_TURN_NS:
             return
+        reads_left = MAX_DISCONNECT_READS
         for connection in [item for item in self.connections if item.current is not None]:
-            if not connection.closing and connection.stream.peer_closed():
-                self.counts["gone_unseen"] += 1
-                connection.stream.fail(CLEAN_END)
+            reads_left -= connection.detect_disconnect(reads_left)
 
     def _accept(self, sock: socket.socket) -> None:
         self.counts["accepted"] += 1
--- a/quincepath/net/stream.py
+++ b/quincepath/net/stream.py
@@ -144,8 +144,16 @@
         return not self.peek()
 
     def peer_closed(self) -> bool:
-        """Whether the next read would return the end of the stream or a reset."""
-        return self.peek() == b""
+        """Whether the peer has ended the stream or reset it, as far as that is known behind unread bytes."""
+        return self.peek() == b"" or self.loop.system.peer_ended(self.sock) is True
+
+    def read_pending(self, max_reads: int) -> int:
+        """Read what has arrived, now and not in later turns; returns the number of reads."""
+        reads = 0
+        while reads < max_reads and not self.closed and self._reading and self.peek():
+            self._ready(READ)
+            reads += 1
+        return reads
 
     def close(self, reset: bool = False) -> None:
         """Close at once without calling ``on_close``; ``reset`` discards buffered output and sends RST."""
--- a/quincepath/net/system.py
+++ b/quincepath/net/system.py
@@ -13,6 +13,8 @@
 
 MS = 1_000_000  # ns
 TCP_INFO_BYTES = 104
+STATE_OFFSET = 0  # of tcpi_state: one byte
+STATES_AFTER_PEER_END = (7, 8)  # TCP_CLOSE, after a reset, and TCP_CLOSE_WAIT
 LAST_DATA_RECEIVED_OFFSET = 52  # of tcpi_last_data_recv in Linux's struct tcp_info: ms, 32 bits
 
 
@@ -38,16 +40,27 @@
         """A listening TCP socket; port 0 selects a free port."""
         return socket.create_server((host, port), backlog=backlog)
 
-    def data_age(self, sock: socket.socket) -> int | None:
-        """How long ago (ns) the last bytes arrived on a TCP socket, read or not; None if not known."""
-        option = getattr(socket, "TCP_INFO", None)  # Linux
+    @staticmethod
+    def _tcp_info(sock: socket.socket) -> bytes | None:
+        """What the system tells of a connection: the whole of Linux's structure, or None."""
+        option = getattr(socket, "TCP_INFO", None)
         if option is None:
             return None
         try:
             info = sock.getsockopt(socket.IPPROTO_TCP, option, TCP_INFO_BYTES)
         except OSError:
             return None
-        if len(info) < LAST_DATA_RECEIVED_OFFSET + 4:
+        return info if len(info) >= LAST_DATA_RECEIVED_OFFSET + 4 else None
+
+    def peer_ended(self, sock: socket.socket) -> bool | None:
+        """Whether the peer of a TCP socket has closed it, also behind unread bytes; None if not known."""
+        info = self._tcp_info(sock)
+        return None if info is None else info[STATE_OFFSET] in STATES_AFTER_PEER_END
+
+    def data_age(self, sock: socket.socket) -> int | None:
+        """How long ago (ns) the last bytes arrived on a TCP socket, read or not; None if not known."""
+        info = self._tcp_info(sock)
+        if info is None:
             return None
         age_ms: int = struct.unpack_from("=I", info, LAST_DATA_RECEIVED_OFFSET)[0]
         return age_ms * MS
--- a/tests/platform/test_client_disconnect.py
+++ b/tests/platform/test_client_disconnect.py
@@ -82,6 +82,61 @@
     assert not forwarded(harness) and not harness.broker.exchanges and not harness.errors
 
 
+def send_and_close(client: socket.socket, data: bytes) -> None:
+    """Send as much as the system takes, then close; the system still sends what it has taken."""
+    client.setblocking(False)
+    try:
+        while data:
+            data = data[client.send(data) :]
+    except BlockingIOError:
+        pass
+    client.close()
+
+
+@pytest.mark.parametrize("size", [2 * READ_CHUNK_BYTES, MAX_DISCARDED_BYTES - READ_CHUNK_BYTES])
+@pytest.mark.parametrize("junk", [HEALTH, b"nonsense\r\n"], ids=["requests", "no requests"])
+def test_a_close_behind_much_unread_is_seen_before_a_query_is_forwarded(junk: bytes, size: int) -> None:
+    """A long turn lies between the close and the read that brings the query, and its end is not read yet."""
+    harness = PlatformHarness()
+    client = established_client(harness)
+    data = harness.request("all", (0, 1), Req_Id="gone") + junk * (size // len(junk))
+    in_long_turn(harness, lambda: send_and_close(client, data))
+    harness.run(1)
+    assert not forwarded(harness) and not harness.broker.exchanges and not harness.errors
+    assert not harness.broker.server.connections
+
+
+def test_a_close_behind_much_unread_is_seen_before_a_part_is_sent_again() -> None:
+    harness = PlatformHarness()
+    client = established_client(harness)
+    for node in harness.nodes:
+        node.behaviors = ["later"]
+    client.sendall(harness.request("all", (0,), Req_Id="gone"))
+    assert harness.run_until(lambda: len(forwarded(harness)) == 1)
+    replied = harness.broker.nodes.on_reply
+
+    def slow_reply(*args: object) -> None:
+        send_and_close(client, HEALTH * (MAX_DISCARDED_BYTES // 2 // len(HEALTH)))
+        harness.loop.at += LONG_TURN_NS
+        replied(*args)  # type: ignore[arg-type]
+
+    harness.broker.nodes.on_reply = slow_reply  # type: ignore[assignment, method-assign]
+    harness.run(1)
+    assert len(forwarded(harness)) == 1 and not harness.broker.exchanges and not harness.errors
+
+
+def test_a_request_sent_ahead_is_not_taken_while_more_is_unread_behind_it() -> None:
+    """The client's end may be among it: its query was forwarded after its close."""
+    harness = PlatformHarness()
+    client = established_client(harness)
+    client.sendall(HEALTH + harness.request("all", (0, 1), Req_Id="gone"))
+    send_and_close(client, HEALTH * (MAX_DISCARDED_BYTES // 2 // len(HEALTH)))
+    for _ in range(50):
+        harness.loop.turn(0)
+    assert harness.broker.counts["taken"] == 1 and not forwarded(harness)
+    assert not harness.broker.server.connections and not harness.errors
+
+
 def test_a_client_that_left_in_the_turn_that_read_its_request_is_not_served() -> None:
     harness = PlatformHarness()
     client = established_client(harness)
