Broker: an id of which a node may have got a part is not taken again

Cause: ids were known only while their query was open; it ends when its client leaves, and its part may run on. After a refusal with no attempt the id is free.

--- a/quincepath/platform/client_protocol.py
+++ b/quincepath/platform/client_protocol.py
@@ -129,7 +129,7 @@
     return tuple(PartRequest(item.range, item.portion, text) for item in query.ranges)
 
 
-def read_query(request: Request, handle: int, site: SiteSettings, open_names: Container[str]) -> Ask:
+def read_query(request: Request, handle: int, site: SiteSettings, used_names: Container[str]) -> Ask:
     """Convert a request to the driver's ``Ask``; raises ``RequestError``."""
     if request.method != "POST":
         raise RequestError(405, f"method {request.method[:20]!r}, POST was expected")
@@ -143,8 +143,8 @@
         tenant = _index_of(site.tenants, _header(request, TENANT_HEADER), "tenant", 400)
     time_left = int(_header(request, DEADLINE_HEADER, DIGITS_PATTERN)) * MS
     parts = _parse_parts(request.body, site)
-    if name in open_names:
-        raise RequestError(409, f"header {ID_HEADER}: {name!r} is the id of a request that is open")
+    if name in used_names:
+        raise RequestError(409, f"header {ID_HEADER}: {name!r} is the id of an earlier request")
     repeat = request.headers.get(RETRY_HEADER) == "1"
     return Ask(handle, kind, time_left, parts, tenant, repeat=repeat, name=name)
 
--- a/quincepath/platform/service.py
+++ b/quincepath/platform/service.py
@@ -41,6 +41,7 @@
 from quincepath.platform.discovery import Discovery
 from quincepath.platform.list_timing import PULL_WATCH_MS, PUSH_WATCH_MS
 from quincepath.platform.nodes import NodePool
+from quincepath.platform.request_ids import RequestIds
 from quincepath.platform.shutdown import ShutdownSchedule
 from quincepath.platform.targets import TargetList, TargetListError, TargetTable, read_list
 from quincepath.policy import Aggregator
@@ -77,8 +78,7 @@
         )
         self.targets = TargetTable(config.site.zones, config.site.kinds)
         self.exchanges: dict[int, Exchange] = {}
-        self.open_ids: dict[str, int] = {}  # handles of the open queries, by the clients' ids
-        self._id_by_handle: dict[int, str] = {}
+        self.request_ids = RequestIds()
         self._inputs: list[Input] = []
         self._last_handle = 0
         self._wakeup: Timer | None = None
@@ -143,7 +143,7 @@
         self._last_handle += 1
         handle = self._last_handle
         try:
-            ask = read_query(request, handle, self.site, self.open_ids)
+            ask = read_query(request, handle, self.site, self.request_ids)
         except RequestError as error:
             self.counts["bad"] += 1
             exchange.request.keep_alive = False  # nothing more is read from such a client
@@ -175,8 +175,7 @@
         exchange.release_body(len(ask.parts[0].payload))  # all parts have the same
         self.client_connections.on_query(exchange.connection)
         self.exchanges[handle] = exchange
-        self.open_ids[ask.name] = handle
-        self._id_by_handle[handle] = ask.name
+        self.request_ids.add(ask.name, handle)
         exchange.on_disconnect = lambda: self._on_client_left(handle)
         self._inputs.append(QueryArrived(ask))
 
@@ -204,15 +203,12 @@
         else:
             exchange.text(404, "not found")
 
-    def _remove_exchange(self, handle: int) -> Exchange | None:
-        exchange = self.exchanges.pop(handle, None)
-        name = self._id_by_handle.pop(handle, "")
-        if self.open_ids.get(name) == handle:
-            del self.open_ids[name]
-        return exchange
+    def _remove_exchange(self, handle: int, may_have_run: bool) -> Exchange | None:
+        self.request_ids.close(handle, may_have_run)
+        return self.exchanges.pop(handle, None)
 
     def _on_client_left(self, handle: int) -> None:
-        if self._remove_exchange(handle) is not None:
+        if self._remove_exchange(handle, may_have_run=True) is not None:
             self.counts["left"] += 1
             self._inputs.append(ClientLeft(handle))
 
@@ -322,7 +318,7 @@
                     self.discovery.refresh()
 
     def _finish(self, finish: Finish) -> None:
-        exchange = self._remove_exchange(finish.handle)
+        exchange = self._remove_exchange(finish.handle, may_have_run=finish.attempts > 0)
         if exchange is None:
             return
         exchange.on_disconnect = None
--- a/tests/platform/test_input_memory.py
+++ b/tests/platform/test_input_memory.py
@@ -7,10 +7,11 @@
 
 import pytest
 
+from quincepath.limits.gate import Bounds
 from quincepath.platform import descriptors
 from quincepath.platform.process_memory import MEGABYTE, MIN_INPUT_BYTES, input_limit
 from tests.standins.large_queries import large_query, memory_of_broker
-from tests.standins.platform import PlatformHarness, platform_settings
+from tests.standins.platform import SECOND, PlatformHarness
 from tests.standins.sockets import connect, peer_of, read_all
 
 CLIENTS = 100
@@ -23,10 +24,8 @@
 
 
 def make_harness() -> PlatformHarness:
-    limits = {**platform_settings()["limits"], "memory_mb": MEMORY_MB, "sockets": 1024, "maxOpen": 5000}
-    harness = PlatformHarness(limits=limits)
-    harness.broker.admission.bounds = type(harness.broker.admission.bounds)(5000, 10**9)
-    harness.broker.server.input_memory.limit = input_limit(MEMORY_MB)
+    harness = PlatformHarness(limits={"memory_mb": MEMORY_MB, "sockets": 1024})
+    harness.broker.admission.bounds = Bounds(open_work=5000, max_retry_after=SECOND)
     return harness
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -160,7 +160,7 @@
     harness.run(0.05)
     assert (
         not harness.broker.exchanges
-        and "gone" not in harness.broker.open_ids
+        and not harness.broker.request_ids.is_open("gone")
         and not harness.broker.driver.queries
     )
 
