Tests: the id of a refused query comes again after the nodes have answered

Cause: the stand-ins were told to answer before they had done their work, so the bound on open work was still reached (503). Change: the test waits for the work first. The program is unchanged.

--- a/tests/platform/test_request_ids.py
+++ b/tests/platform/test_request_ids.py
@@ -45,6 +45,7 @@
     other.stream.write(harness.request("all", (0, 1)))
     assert harness.run_until(lambda: len(harness.received()) == 2)
     assert harness.ask("all", (0, 1), Req_Id="same").status == 503
+    harness.run(0.1)  # the nodes' work; then they answer
     for node in harness.nodes:
         node.answer_silent()
     harness.run(0.1)
