HTTP: a body in very many small chunks is refused early

Cause: the parser calls Python once a chunk; up to 65,536 calls, some 20 ms for each read, before a body is refused for its size, and hundreds of such reads make one turn. Change: more than 1,000 chunks whose mean is under 64 bytes get 413 as soon as that is seen. Replies are not limited so. Tests: test_a_body_in_very_many_small_chunks_is_refused_early failed before for chunks of 1 and 16 bytes; a small body in chunks of a byte is served (test_a_small_body_may_come_in_chunks_of_a_byte). A turn of the loop is not bounded by this.

--- a/quincepath/net/http1.py
+++ b/quincepath/net/http1.py
@@ -10,6 +10,8 @@
 PARSE_CHUNK_BYTES = 16 * 1024  # parsed at once; also the most held beyond a limit before it is noticed
 HEADER_OVERHEAD_BYTES = 4  # per header line: colon, space, CR LF
 HEADER_OBJECT_BYTES = 200  # of memory for a header besides its text: two strings and a place in a dictionary
+FREE_CHUNKS = 1000  # of a body, whatever their size; each takes a callback
+MIN_MEAN_CHUNK_BYTES = 64  # of a body in more chunks
 REQUEST_OBJECT_BYTES = 1000  # of memory for a request without headers
 
 
@@ -151,6 +153,7 @@
         self.dropped = 0  # bytes
         self.wants_continue = False
         self._target = b""
+        self._chunks = 0
         self._parser: httptools.HttpRequestParser | None = httptools.HttpRequestParser(self)
 
     def on_url(self, url: bytes) -> None:
@@ -165,6 +168,7 @@
         if self._queue_full():
             raise _QueueFullError
         self._target = b""
+        self._chunks = 0
         super().on_message_begin()
 
     def on_headers_complete(self) -> None:
@@ -172,6 +176,12 @@
         super().on_headers_complete()
         self.wants_continue = self._headers.get("expect", "").lower() == "100-continue"
 
+    def on_chunk_header(self) -> None:
+        """Parser callback: start of a chunk of the body."""
+        self._chunks += 1
+        if self._chunks > FREE_CHUNKS + len(self._body) // MIN_MEAN_CHUNK_BYTES:
+            self._fail(413, f"a body of {len(self._body)} bytes in {self._chunks} chunks")
+
     def on_message_complete(self) -> None:
         """Parser callback: end of the message."""
         assert self._parser is not None
--- a/tests/platform/test_floods.py
+++ b/tests/platform/test_floods.py
@@ -1,13 +1,14 @@
 """Clients that send too much or too slowly, or never read, cost little; other clients are served."""
 
 import json
+import re
 import socket
 import tracemalloc
 from collections.abc import Iterator
 
 import pytest
 
-from quincepath.net.http1 import MAX_PIPELINED_REQUESTS, HttpError, Limits, RequestReader
+from quincepath.net.http1 import FREE_CHUNKS, MAX_PIPELINED_REQUESTS, HttpError, Limits, RequestReader
 from quincepath.platform import descriptors
 from tests.standins.platform import MS, SECOND, Client, PlatformHarness
 from tests.standins.sockets import connect, peer_of, read_all
@@ -112,6 +113,35 @@
     assert read_all(client)[0].startswith(b"HTTP/1.1 %d " % status)
 
 
+@pytest.mark.parametrize(("chunk", "served"), [(1, False), (16, False), (64, True), (4096, True)])
+def test_a_body_in_very_many_small_chunks_is_refused_early(chunk: int, served: bool) -> None:
+    """Each chunk takes a callback: 64 KiB in chunks of a byte took 20 ms, and hundreds of clients seconds."""
+    reader = RequestReader(Limits(body=descriptors.MAX_BODY_BYTES))
+    wire = b"%x\r\n%s\r\n" % (chunk, b"x" * chunk)
+    sent = 0
+    reader.feed(CHUNKED)
+    try:
+        while sent < 60_000:
+            reader.feed(wire)
+            sent += chunk
+        reader.feed(b"0\r\n\r\n")
+    except HttpError as error:
+        assert error.status == 413 and not served
+        assert sent < 1.5 * FREE_CHUNKS * chunk
+    assert len(reader.done) == served
+
+
+def test_a_small_body_may_come_in_chunks_of_a_byte() -> None:
+    harness = PlatformHarness()
+    head, _, body = harness.request("all", (0, 1)).partition(b"\r\n\r\n")
+    chunked = re.sub(rb"Content-Length: \d+", b"Transfer-Encoding: chunked", head)
+    client = Client(harness)
+    client.stream.write(
+        chunked + b"\r\n\r\n" + b"".join(b"1\r\n%c\r\n" % byte for byte in body) + b"0\r\n\r\n"
+    )
+    assert harness.run_until(lambda: client.status > 0) and client.status == 200
+
+
 def test_a_client_that_never_reads_holds_one_response_and_is_cut_off() -> None:
     harness = PlatformHarness()
     client = connect(harness)
