Loop: sockets get at most 20 ms of a turn, and those that take little time come first

Cause: a turn served all ready sockets before timers and hooks; only what is read of one socket was bounded. Change: Loop serves sockets for 20 ms; the next wait reports the others again. net/socket_turns.py (pure) orders them by the time that their callbacks took lately, which fades by half each 250 ms; a new client connection begins with 4 ms. Loop.lag covers the turns in which a socket waited, so that the time of a request counts from its arrival. sockets_ms is reported.

--- a/quincepath/net/client_connection.py
+++ b/quincepath/net/client_connection.py
@@ -23,6 +23,7 @@
 MAX_JOINED_BODY_BYTES = 16 * 1024  # a smaller body is copied behind the head and sent with it
 MAX_DISCARDED_BYTES = 2 * 1024 * 1024  # sent ahead, read and discarded; over it the connection is closed
 DRAIN_FIRST_REQUEST_NS = 250_000_000  # for a new connection to begin its request while draining
+UNPROVEN_CLIENT_NS = 4_000_000  # a new connection goes behind those known to take little time
 STALE_TURN_NS = 20_000_000  # a disconnect may stay unseen so long; queries must not be sent 100 ms after it
 TEXT_HEADERS = {"Content-Type": "text/plain; charset=utf-8"}
 
@@ -119,12 +120,13 @@
         self._accepted_in = server.loop.turns
         self._received_at: int | None = None  # of the first queued request, if none was open when it came
         self.stream = Stream(server.loop, sock, self._on_data, self._on_closed, self._on_drained)
+        server.loop.socket_turns.begin(sock.fileno(), UNPROVEN_CLIENT_NS)
 
     def _time_unread(self) -> int:
         """How long (ns) the bytes being read may have waited, where the system does not tell, at most."""
         loop = self.server.loop
         longest = loop.lag
-        if loop.turns <= self._accepted_in + 1:  # they may have come before the connection was accepted
+        if loop.last_complete_turn <= self._accepted_in:  # they may have come before it was accepted
             longest = max(longest, loop.now - self._waiting_since)
         if longest < STALE_TURN_NS:
             return longest  # not worth a system call
--- a/quincepath/net/loop.py
+++ b/quincepath/net/loop.py
@@ -1,8 +1,9 @@
 """Event loop on ``selectors``: sockets, timers, signals and turn hooks.
 
 A turn waits, runs the callbacks of ready sockets, then due timers, then the turn hooks. In a hook the broker
-passes one batch of events to its driver. All times are monotonic nanoseconds; the wait lasts until the next
-timer, rounded up to the selector's millisecond, so that there is no busy waiting.
+passes one batch of events to its driver. The callbacks of sockets take a limited time in a turn; the rest of
+them run in the next one, in the order of ``SocketTurns``. All times are monotonic nanoseconds; the wait lasts
+until the next timer, rounded up to the selector's millisecond, so that there is no busy waiting.
 """
 
 import heapq
@@ -13,10 +14,13 @@
 from collections.abc import Callable
 from typing import Any
 
+from quincepath.net.socket_turns import NEGLIGIBLE_NS, SocketTurns
 from quincepath.net.system import System
 
 READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
 MAX_OVERRUN_NS = 20_000_000  # of a wait: the selector's milliseconds and the system's scheduling
+MAX_SOCKETS_NS = 20_000_000  # of a turn for sockets, but for the callback that exceeds it
+UNSORTED_SOCKETS = 32  # ready at once, and served in the order of the wait
 MAX_WAIT_S = 60.0  # an idle loop wakes up this often, at negligible cost
 
 
@@ -48,9 +52,13 @@
         self._signal_handlers: dict[signal.Signals, Callable[[], None]] = {}
         self._pending_signals: dict[int, None] = {}  # received, handler not called yet
         self.turn_hooks: list[Callable[[], None]] = []
+        self.socket_turns = SocketTurns()
+        self._more_ready = False  # the last turn did not serve all ready sockets
+        self.longest_sockets = 0  # time (ns) for sockets in one turn; reset by whoever reports it
         # If set, receives exceptions of callbacks: each then closes its connection, not the process.
         self.on_error: Callable[[Exception], None] | None = None
         self.turns = 0
+        self.last_complete_turn = 0  # the last one before this that served all ready sockets
         self.now = clock()
         # Longest time (ns) that an event found by the last wait may have been pending: the previous turn's
         # duration, and the whole wait if it took so much longer than asked for that the process was held up.
@@ -63,6 +71,7 @@
         if not mask:
             if registered is not None:
                 self._selector.unregister(sock)
+                self.socket_turns.forget(sock.fileno())
         elif registered is None:
             self._selector.register(sock, mask, call)
         else:
@@ -121,10 +130,7 @@
         self.turns += 1
         while self._pending_signals:
             self._call_guarded(self._signal_handlers[signal.Signals(self._pending_signals.popitem()[0])])
-        for key, mask in ready:
-            call: Any = key.data
-            if self._selector.get_map().get(key.fd) is key:  # an earlier callback may have closed it
-                self._call_guarded(call, mask)
+        self._serve_sockets(ready)
         while self._timers and self._timers[0][0] <= self.now:
             timer = heapq.heappop(self._timers)[2]
             callback, timer.call = timer.call, None
@@ -133,6 +139,29 @@
         for hook in self.turn_hooks:
             self._call_guarded(hook)
 
+    def _serve_sockets(self, ready: list[tuple[selectors.SelectorKey, int]]) -> None:
+        """Run the callbacks of ready sockets until their time is over; the next wait reports the rest."""
+        turns = self.socket_turns
+        turns.fade(self.now)
+        if self._more_ready or len(ready) > UNSORTED_SOCKETS:
+            ready.sort(key=lambda item: turns.taken(item[0].fd))
+        if not self._more_ready:
+            self.last_complete_turn = self.turns - 1
+        self._more_ready = False
+        began = at = self.clock()
+        for key, mask in ready:
+            if at > began + MAX_SOCKETS_NS:
+                self._more_ready = True
+                self._unseen = self.lag
+                break
+            call: Any = key.data
+            if self._selector.get_map().get(key.fd) is key:  # an earlier callback may have closed it
+                self._call_guarded(call, mask)
+                before, at = at, self.clock()
+                if at > before + NEGLIGIBLE_NS and self._selector.get_map().get(key.fd) is key:
+                    turns.add(key.fd, at - before)
+        self.longest_sockets = max(self.longest_sockets, at - began)
+
     @staticmethod
     def _time_held_up(waited: int, asked_for: int) -> int:
         """How long (ns) events may have been pending in a wait: if held up, perhaps from its start."""
--- a/quincepath/platform/service.py
+++ b/quincepath/platform/service.py
@@ -350,14 +350,14 @@
             pass
         log.info(
             "counts=%s attempts=%s server=%s peers=%d nodes=%d parts=%d "
-            "turn_ms=%.1f late_ms=%.1f cpu_s=%.2f rss_kb=%d input_kb=%d",
+            "turn_ms=%.1f late_ms=%.1f sockets_ms=%.1f cpu_s=%.2f rss_kb=%d input_kb=%d",
             dict(self.counts), dict(self.nodes.counts), dict(self.server.counts),
             len(self.server.connections), self.nodes.open_count(), len(self.driver.parts),
-            self.slowest_turn / MS, self.max_lateness / MS,
+            self.slowest_turn / MS, self.max_lateness / MS, self.loop.longest_sockets / MS,
             time.process_time(), pages * os.sysconf("SC_PAGE_SIZE") // 1024,
             self.server.input_memory.total // 1024,
         )  # fmt: skip
-        self.slowest_turn = self.max_lateness = 0
+        self.slowest_turn = self.max_lateness = self.loop.longest_sockets = 0
 
     # --- configuration and shutdown ---
 
