HTTP server: fewer updates of the input's memory for a usual request

Change: a single whole request for which there is room is counted once when it is open and once when it is answered; a value of the one length that all have had is not looked at further.

--- a/quincepath/limits/input_memory.py
+++ b/quincepath/limits/input_memory.py
@@ -38,6 +38,10 @@
         if size:
             self._held[holder] = size
 
+    def has_room(self, size: int) -> bool:
+        """Whether so many bytes more are within the limit."""
+        return not self.limit or self.total + size <= self.limit
+
     def enforce(self, newest: H) -> None:
         """Let connections give up input while the limit is exceeded; ``newest`` is the one that grew."""
         while self.limit and self.total > self.limit:
--- a/quincepath/net/client_connection.py
+++ b/quincepath/net/client_connection.py
@@ -160,10 +160,11 @@
             self.server.counts["flooded"] += 1
             self.stream.fail("client sent too many bytes ahead of the answer")
             return
-        self._update_input_memory()
-        self.server.input_memory.enforce(self)
-        if self.closing:
-            return
+        if not self._is_taken_at_once():
+            self._update_input_memory()
+            self.server.input_memory.enforce(self)
+            if self.closing:
+                return
         if self.reader.wants_continue and self.current is None and self.error is None:
             self.reader.wants_continue = False
             self.stream.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -186,9 +187,10 @@
             received_at, self._received_at = self._received_at, None
             exchange = self.current = Exchange(self, request, received_at or self.server.loop.now)
             self._open_bytes = request.memory_bytes
-            self._update_input_memory()
             self.server.counts["requests"] += 1
             self.server.handler(exchange)
+            if self.current is exchange:
+                self._update_input_memory()
         elif self.error is not None:
             self.server.counts["protocol_errors"] += 1
             self._send(self.error.status, TEXT_HEADERS, self.error.text.encode() + b"\n", keep_alive=False)
@@ -197,6 +199,13 @@
 
     # --- memory of what the client sent ---
 
+    def _is_taken_at_once(self) -> bool:
+        """Whether one whole request is all that was sent, and there is room for it: the common case."""
+        reader = self.reader
+        if self.current is not None or reader.busy or self.error is not None or len(reader.done) != 1:
+            return False
+        return self.server.input_memory.has_room(reader.done[0].memory_bytes)
+
     def _update_input_memory(self) -> None:
         self.server.input_memory.update(self, self._open_bytes + self.reader.memory_bytes)
 
@@ -204,7 +213,6 @@
         """The body of the open request was freed but for so many bytes."""
         assert self.current is not None
         self._open_bytes = self.current.request.memory_bytes + retained
-        self._update_input_memory()
 
     @property
     def sheddable_bytes(self) -> int:
--- a/quincepath/platform/reply_evidence.py
+++ b/quincepath/platform/reply_evidence.py
@@ -54,12 +54,12 @@
 
     def hold_time(self, now: int, node: Hashable, length: int, longest_hold: int) -> int:
         """How long to hold back a reply with such a value that ends a read; 0: not at all."""
-        if self.shortest is None:
+        if length == self.shortest == self.longest or self.shortest is None:
             return 0
         if not self.shortest <= length <= self.longest:
             return longest_hold
         windows = self._gaps.get(node)
-        if windows is None or self.shortest == self.longest:
+        if windows is None:
             return 0
         windows.advance(now)
         gap = max(windows.longest, windows.previous)
