--- a/quincepath/net/client_connection.py
+++ b/quincepath/net/client_connection.py
@@ -1,9 +1,9 @@
 """One client connection of the HTTP server: its requests are served one at a time, in order.
 
 A pipelined request waits in the reader until the one before it is answered. Only then is it passed to the
-handler, because its answer could not overtake the earlier one anyway; its client's time runs from its arrival.
-While a request is open the connection is always read, so that a disconnect is noticed; little of what the
-client sends ahead is kept, the rest is discarded. Closing is described in net/closing.py.
+handler, because its answer could not overtake the earlier one anyway; its time runs from its arrival. While a
+request is open the connection is always read, so that a disconnect is noticed; little of what the client
+sends ahead is kept, the rest is discarded. Closing is described in net/closing.py.
 """
 
 import socket
