--- a/quincepath/platform/service.py
+++ b/quincepath/platform/service.py
@@ -1,7 +1,6 @@
 """The broker on the platform: connects clients, driver, nodes and discovery on one loop; decides nothing."""
 
 import logging
-import os
 import time
 from collections import Counter
 from collections.abc import Callable
@@ -342,21 +341,7 @@
 
     def _report(self) -> None:
         self.loop.call_in(REPORT_INTERVAL_NS, self._report)
-        pages = 0
-        try:
-            with open("/proc/self/statm") as file:
-                pages = int(file.read().split()[1])
-        except OSError:
-            pass
-        log.info(
-            "counts=%s attempts=%s server=%s peers=%d nodes=%d parts=%d "
-            "turn_ms=%.1f late_ms=%.1f sockets_ms=%.1f cpu_s=%.2f rss_kb=%d input_kb=%d",
-            dict(self.counts), dict(self.nodes.counts), dict(self.server.counts),
-            len(self.server.connections), self.nodes.open_count(), len(self.driver.parts),
-            self.slowest_turn / MS, self.max_lateness / MS, self.loop.longest_sockets / MS,
-            time.process_time(), pages * os.sysconf("SC_PAGE_SIZE") // 1024,
-            self.server.input_memory.total // 1024,
-        )  # fmt: skip
+        log.info("%s", status.counters_line(self))
         self.slowest_turn = self.max_lateness = self.loop.longest_sockets = 0
 
     # --- configuration and shutdown ---
--- a/quincepath/platform/status.py
+++ b/quincepath/platform/status.py
@@ -1,5 +1,7 @@
-"""The status page of a broker: its counters, the attempts it believes in flight, and its connections."""
+"""What a broker tells of itself: its status page, and the line of counters in its log."""
 
+import os
+import time
 from collections import Counter
 from typing import Any, Protocol
 
@@ -10,6 +12,8 @@
 from quincepath.platform.nodes import NodePool
 from quincepath.platform.targets import TargetTable
 
+MS = 1_000_000
+
 
 class StatusSource(Protocol):
     """What the page needs from a broker."""
@@ -21,6 +25,30 @@
     targets: TargetTable
     counts: Counter[str]
     exchanges: dict[int, Exchange]
+    slowest_turn: int
+    max_lateness: int
+
+
+def resident_kilobytes() -> int:
+    """Resident memory of this process; 0 where the system does not tell."""
+    try:
+        with open("/proc/self/statm") as file:
+            pages = int(file.read().split()[1])
+    except OSError:
+        return 0
+    return pages * os.sysconf("SC_PAGE_SIZE") // 1024
+
+
+def counters_line(broker: StatusSource) -> str:
+    """All counters, and the times and sizes since the last such line, as one line of the log."""
+    server = broker.server
+    return (
+        f"counts={dict(broker.counts)} attempts={dict(broker.nodes.counts)} server={dict(server.counts)} "
+        f"peers={len(server.connections)} nodes={broker.nodes.open_count()} parts={len(broker.driver.parts)} "
+        f"turn_ms={broker.slowest_turn / MS:.1f} late_ms={broker.max_lateness / MS:.1f} "
+        f"sockets_ms={broker.loop.longest_sockets / MS:.1f} cpu_s={time.process_time():.2f} "
+        f"rss_kb={resident_kilobytes()} input_kb={server.input_memory.total // 1024}"
+    )
 
 
 def status_page(broker: StatusSource) -> dict[str, Any]:
