Tests: a close is delivered before the turn that has to see it

Seen: test_a_client_that_left_during_a_long_turn_is_not_served_in_the_next failed once in the whole script, beside other load: both parts of its query were forwarded. Traced: with one wait of the loop that finds nothing between the long turn and the delivery it fails the same way, each time. The loop in virtual time waits one real millisecond for what is in transit, then its clock jumps; the turn that reads the request is not late then, and the end is read in the next. Change: tests with a close in a long turn wait until the system has delivered it, by the socket's own events.

--- a/tests/platform/test_client_disconnect.py
+++ b/tests/platform/test_client_disconnect.py
@@ -1,5 +1,6 @@
 """After a client has closed its connection nothing of its query is forwarded, wherever the close is seen."""
 
+import select
 import socket
 from collections.abc import Callable
 
@@ -29,6 +30,20 @@
     return client
 
 
+def delivery(harness: PlatformHarness, client: socket.socket, event: int) -> Callable[[], None]:
+    """A wait until the broker's system has what the client sent: ``POLLIN`` bytes, ``POLLRDHUP`` its end.
+
+    A busy machine may deliver it later than the loop in virtual time waits for it, and the clock jumps then.
+    """
+    poll = select.poll()
+    poll.register(peer_of(harness, client).stream.sock, event)
+
+    def wait() -> None:
+        assert poll.poll(5000)
+
+    return wait
+
+
 def in_long_turn(harness: PlatformHarness, act: Callable[[], None]) -> None:
     """Run ``act`` within a turn that is long for reasons other than this client."""
 
@@ -71,10 +86,12 @@
 def test_a_client_that_left_during_a_long_turn_is_not_served_in_the_next() -> None:
     harness = PlatformHarness()
     client = established_client(harness)
+    delivered = delivery(harness, client, select.POLLRDHUP)
 
     def ask_and_go() -> None:
         client.sendall(harness.request("all", (0, 1), Req_Id="gone"))
         client.close()
+        delivered()
 
     in_long_turn(harness, ask_and_go)
     harness.run(1)
@@ -100,7 +117,13 @@
     harness = PlatformHarness()
     client = established_client(harness)
     data = harness.request("all", (0, 1), Req_Id="gone") + junk * (size // len(junk))
-    in_long_turn(harness, lambda: send_and_close(client, data))
+    delivered = delivery(harness, client, select.POLLIN)
+
+    def ask_and_go() -> None:
+        send_and_close(client, data)
+        delivered()
+
+    in_long_turn(harness, ask_and_go)
     harness.run(1)
     assert not forwarded(harness) and not harness.broker.exchanges and not harness.errors
     assert not harness.broker.server.connections
@@ -114,9 +137,11 @@
     client.sendall(harness.request("all", (0,), Req_Id="gone"))
     assert harness.run_until(lambda: len(forwarded(harness)) == 1)
     replied = harness.broker.nodes.on_reply
+    delivered = delivery(harness, client, select.POLLIN)
 
     def slow_reply(*args: object) -> None:
         send_and_close(client, HEALTH * (MAX_DISCARDED_BYTES // 2 // len(HEALTH)))
+        delivered()
         harness.loop.at += LONG_TURN_NS
         replied(*args)  # type: ignore[arg-type]
 
@@ -140,8 +165,15 @@
 def test_a_client_that_left_in_the_turn_that_read_its_request_is_not_served() -> None:
     harness = PlatformHarness()
     client = established_client(harness)
-    in_long_turn(harness, client.close)
+    ended, arrived = (delivery(harness, client, event) for event in (select.POLLRDHUP, select.POLLIN))
+
+    def go() -> None:
+        client.close()
+        ended()
+
+    in_long_turn(harness, go)
     client.sendall(harness.request("all", (0, 1), Req_Id="gone"))
+    arrived()
     # The socket is read first; the rest of the long turn follows, and the request is forwarded at its end.
     harness.run(1)
     assert harness.broker.server.counts["requests"] == 2
@@ -157,9 +189,11 @@
     client.sendall(harness.request("all", (0,), Req_Id="gone"))
     assert harness.run_until(lambda: len(forwarded(harness)) == 1)
     replied = harness.broker.nodes.on_reply
+    delivered = delivery(harness, client, select.POLLRDHUP)
 
     def slow_reply(*args: object) -> None:
         client.close()
+        delivered()
         harness.loop.at += LONG_TURN_NS
         replied(*args)  # type: ignore[arg-type]
 
