--- /dev/null
+++ b/tests/standins/surplus.py
@@ -0,0 +1,309 @@
+"""Nodes whose good replies have more behind them, or whose length is too short, around a broker process.
+
+``python -m tests.standins.surplus --seconds 60 --seed 1`` plays a longer run with a chosen share of faults
+and prints what clients were served and which attempts began after a good reply to the same part was sent.
+"""
+
+import argparse
+import json
+import random
+import socket
+import struct
+import sys
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from quincepath.net.http1 import request_bytes
+from quincepath.net.loop import Loop
+from quincepath.net.stream import Stream
+from tests.standins.platform import MS, Discovery, Node, frame, platform_settings
+from tests.test_deploy import MODULE, BrokerProcess
+
+LATE_NS = 150 * MS  # after a good reply was sent: an attempt that begins then comes too late
+TARGET_NS, DEADLINE_FACTOR = 127 * MS, 3
+NODES, SETS, SHARDS, PARTS = 9, 3, 24, 4
+HEADERS = {"Req-Kind": "history", "Req-Owner": "acme"}
+
+
+@dataclass(frozen=True)
+class Surplus:
+    """What is wrong with a reply: bytes behind it, or bytes by which its length is too short."""
+
+    tail: bytes = b""
+    too_short: int = 0
+
+
+SOUND = Surplus()
+Plan = Callable[[str], Surplus]  # by the id of a part
+
+
+def value_of(part: str, lengths: range = range(16, 17)) -> str:
+    """The value that every replica makes for a part."""
+    draw = random.Random(part)
+    return f"{draw.getrandbits(256):064x}"[: draw.choice(lengths)]
+
+
+@dataclass
+class PartRecord:
+    """When attempts of one part began, and when its first good reply was sent (ns)."""
+
+    begun: list[int] = field(default_factory=list)
+    answered: int | None = None
+
+    def late(self) -> int:
+        """Attempts that began too long after the good reply."""
+        return 0 if self.answered is None else sum(at > self.answered + LATE_NS for at in self.begun)
+
+
+class SurplusNode(Node):
+    """A node that follows a plan; ``records`` are shared by all nodes."""
+
+    def __init__(
+        self, loop: Loop, name: str, plan: Plan, records: dict[str, PartRecord], lengths: range
+    ) -> None:
+        super().__init__(loop, name)
+        self.plan, self.records, self.lengths = plan, records, lengths
+        self.waiting = Counter[Stream]()
+        self.useless = set[Stream]()  # connections that carried a spoilt reply
+
+    def _reply_callback(self, stream: Stream, behavior: str, part: str, text: str) -> Callable[[], None]:
+        record = self.records.setdefault(part, PartRecord())
+        record.begun.append(self.loop.clock())
+        self.waiting[stream] += 1
+
+        def reply() -> None:
+            self.waiting[stream] -= 1
+            if stream in self.useless:
+                return
+            surplus = self.plan(part)
+            if surplus.tail and self.waiting[stream]:
+                surplus = SOUND  # more than belongs to a reply comes only when nothing else waits
+            data = frame(b"q", f"{part} good 7 inflight=3\n{value_of(part, self.lengths)}".encode())
+            if surplus.too_short:
+                data = struct.pack("<I", len(data) - 4 - surplus.too_short) + data[4:]
+                self.useless.add(stream)
+            stream.write(data + surplus.tail)
+            if not surplus.too_short and record.answered is None:
+                record.answered = self.loop.clock()
+
+        return reply
+
+
+class SurplusProcess(BrokerProcess):
+    """A broker process whose list names the nodes of a world."""
+
+    def __init__(self, folder: Path, document: Callable[[int], dict[str, Any]]) -> None:
+        self._document = document
+        super().__init__(folder, sys.executable, "-m", MODULE)
+
+    def write(self, discovery: str) -> None:
+        self.file.write_text(json.dumps(self._document(self.port)))
+
+
+@dataclass
+class Tally:
+    """What clients got."""
+
+    asked: int = 0
+    served: int = 0
+    wrong: int = 0
+
+
+class World:
+    """One broker process, its nodes and discovery; ``Loop`` in real time."""
+
+    def __init__(
+        self, folder: Path, plan: Plan, lengths: range = range(16, 17), target: int = TARGET_NS
+    ) -> None:
+        self.loop, self.records, self.lengths = Loop(), dict[str, PartRecord](), lengths
+        self.target = target
+        self.nodes = [
+            SurplusNode(self.loop, f"s-{number:08x}", plan, self.records, lengths) for number in range(NODES)
+        ]
+        self.discovery = Discovery(self.loop)
+        self.discovery.entries = {node.name: self._entry(number) for number, node in enumerate(self.nodes)}
+        self.process = SurplusProcess(folder, self._configuration)
+        self.tally = Tally()
+
+    def _entry(self, number: int) -> dict[str, Any]:
+        node = self.nodes[number]
+        return {
+            "id": node.name, "addr": node.address, "zone": "a b", "kind": "m2", "cell": number % SETS,
+            "state": "SERVING", "weight": 1.0, "started_ms": 0,
+        }  # fmt: skip
+
+    def _configuration(self, port: int) -> dict[str, Any]:
+        base = platform_settings()
+        times = {"deadline": DEADLINE_FACTOR * self.target, "target": self.target, "lateWorth": 0.1}
+        settings = platform_settings(
+            classes=[{"name": "history", "effect": "read_like", **times}],
+            specifics={"places": SETS, "inARow": 1, "shards": SHARDS, "batch": 1, "needByClass": [1]},
+            rules={**base["rules"], "freeResends": 500},
+        )
+        known = {"version": 1, "full": True, "servers": list(self.discovery.entries.values())}
+        agent = f"127.0.0.1:{self.discovery.server.port}"
+        return {
+            "name": "n0", "listen": f"127.0.0.1:{port}", "discovery": agent, "seed": "8c1f30d27a5be964",
+            "known": known, "settings": settings, "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+        }  # fmt: skip
+
+    def start(self) -> None:
+        """Return when the broker is ready; discovery and nodes are served meanwhile."""
+        self.run_until(lambda: self._accepts(), 30)
+
+    def _accepts(self) -> bool:
+        try:
+            socket.create_connection(("127.0.0.1", self.process.port), 1).close()
+        except OSError:
+            return False
+        return True
+
+    def run_until(self, done: Callable[[], bool], seconds: float) -> None:
+        """Serve nodes and discovery until ``done``."""
+        end = time.monotonic() + seconds
+        while not done():
+            assert time.monotonic() < end, "nothing came in time"
+            self.loop.turn(0.02)
+
+    def connect(self) -> "SurplusClient":
+        """A client with a connection of its own."""
+        return SurplusClient(self)
+
+    def late_attempts(self) -> int:
+        """Attempts that began too long after a good reply to the same part."""
+        return sum(record.late() for record in self.records.values())
+
+    def attempts(self) -> Counter[int]:
+        """How many parts had so many attempts."""
+        return Counter(len(record.begun) for record in self.records.values())
+
+    def end(self) -> None:
+        """End the process."""
+        self.process.end()
+
+
+class SurplusClient:
+    """Asks one query after another; ``name`` is the id of the last one."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.data = b""
+        self.name = ""
+        sock = socket.create_connection(("127.0.0.1", world.process.port))
+        self.stream = Stream(world.loop, sock, self._on_data, lambda why: None)
+
+    def _on_data(self, data: bytes) -> None:
+        self.data += data
+
+    def send(self, name: str, shards: list[int]) -> None:
+        """Send one query."""
+        deadline_ms = DEADLINE_FACTOR * self.world.target // MS
+        self.name, self.data = name, b""
+        ranges = [{"range": shard, "portion": 1 / len(shards)} for shard in shards]
+        body = json.dumps({"ranges": ranges, "predicate": "c41e77d0"}).encode()
+        headers = {**HEADERS, "Req-Id": name, "Req-Deadline-Ms": str(deadline_ms)}
+        self.stream.write(request_bytes("POST", "/history", "x", headers, body))
+        self.world.tally.asked += 1
+
+    def answered(self) -> bool:
+        """Whether the whole answer is there; counts it."""
+        head, separator, body = self.data.partition(b"\r\n\r\n")
+        length = next(
+            (int(line[15:]) for line in head.split(b"\r\n") if line.lower().startswith(b"content-length:")), 0
+        )
+        if not separator or len(body) < length:
+            return False
+        if head.startswith(b"HTTP/1.1 200"):
+            self.world.tally.served += 1
+            self.world.tally.wrong += sum(
+                answer["blob"] != value_of(f"{self.name}.{answer['range']}", self.world.lengths)
+                for answer in json.loads(body)["answers"]
+            )
+        self.data = b""
+        return True
+
+    def ask(self, name: str, shards: list[int]) -> None:
+        """Send one query and wait for its answer."""
+        self.send(name, shards)
+        self.world.run_until(self.answered, 30)
+
+
+TAILS: dict[str, Callable[[random.Random], bytes]] = {
+    "seven printable": lambda draw: b"f00dcaf" * 3,
+    "one printable": lambda draw: b"4",
+    "two printable": lambda draw: b"4d",
+    "zero byte": lambda draw: b"\0",
+    "noise": lambda draw: bytes([draw.choice((0, 1, 10, 128, 255))]) + draw.randbytes(draw.randint(0, 39)),
+    "any noise": lambda draw: draw.randbytes(draw.randint(1, 40)),
+}
+
+
+def mixed_plan(seed: int, share: float, tail: str, spoilt_share: float, by_attempt: bool = False) -> Plan:
+    """So many parts have a tail behind every reply; of these so many have a length too short instead."""
+    count = Counter[str]()
+
+    def plan(part: str) -> Surplus:
+        count[part] += 1
+        draw = random.Random(f"{seed}|{part}|{count[part] if by_attempt else 0}")
+        if draw.random() >= share:
+            return SOUND
+        if draw.random() < spoilt_share:
+            return Surplus(too_short=draw.randint(1, 8))
+        return Surplus(tail=TAILS[tail](draw))
+
+    return plan
+
+
+def play(world: World, seconds: float, clients: int, seed: int) -> None:
+    """Usual clients ask one query after another."""
+    draw = random.Random(seed)
+    number = 0
+    open_clients = [world.connect() for _ in range(clients)]
+    end = time.monotonic() + seconds
+    waiting = set[SurplusClient]()
+    while time.monotonic() < end or waiting:
+        for client in open_clients:
+            if client in waiting and client.answered():
+                waiting.discard(client)
+            if client not in waiting and time.monotonic() < end:
+                number += 1
+                client.send(f"q{number:08d}", draw.sample(range(SHARDS), PARTS))
+                waiting.add(client)
+        world.loop.turn(0.01)
+
+
+def main() -> None:
+    """Play one run and print its figures."""
+    parser = argparse.ArgumentParser(description=main.__doc__)
+    parser.add_argument("--seconds", type=float, default=7.0)
+    parser.add_argument("--clients", type=int, default=4)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--tail", choices=list(TAILS), default="one printable")
+    parser.add_argument("--share", type=float, default=0.5)
+    parser.add_argument("--spoilt", type=float, default=0.0)
+    parser.add_argument("--by-attempt", action="store_true", help="draw anew for each attempt")
+    parser.add_argument("--lengths", type=int, nargs=2, default=(16, 16))
+    words = parser.parse_args()
+    plan = mixed_plan(words.seed, words.share, words.tail, words.spoilt, words.by_attempt)
+    with tempfile.TemporaryDirectory() as folder:
+        world = World(Path(folder), plan, range(words.lengths[0], words.lengths[1] + 1))
+        try:
+            world.start()
+            play(world, words.seconds, words.clients, words.seed)
+        finally:
+            world.end()
+    tally = world.tally
+    print(
+        f"{words.tail}, share {words.share}, spoilt {words.spoilt}, seed {words.seed}: "
+        f"served {tally.served} of {tally.asked}, wrong {tally.wrong}, late {world.late_attempts()}, "
+        f"parts by attempts {dict(sorted(world.attempts().items()))}"
+    )
+
+
+if __name__ == "__main__":
+    main()
