Platform: each further attempt is logged with query, shard, node and reason

Change: the driver keeps why an attempt ended and puts it into the order of the next one; the platform's service logs each attempt after a part's first and counts them (counts: 'further attempts'). Their number is bounded by the retry budget. Result: 249 tests of the driver, the platform and the import contracts passed.

--- a/quincepath/broker/driver/core.py
+++ b/quincepath/broker/driver/core.py
@@ -15,6 +15,7 @@
 from collections import Counter
 from collections.abc import Iterable
 
+from quincepath.broker.driver.calls import CallBatch
 from quincepath.broker.driver.rules import PROVED_UNRUN, Rules
 from quincepath.broker.driver.state import Attempt, DecisionModule, OpenPart, OpenQuery
 from quincepath.interface import (
@@ -26,7 +27,6 @@
     Fetch,
     Left,
     Log,
-    NodeId,
     Outcome,
     Part,
     Probe,
@@ -55,7 +55,6 @@
     PartRequest,
     QueryArrived,
     RefreshMembership,
-    StartCall,
     StopAttempt,
     Verdict,
     Withdraw,
@@ -81,7 +80,7 @@
         self._last_id = 0
         self._timer_count = 0
         self._orders: list[Order] = []
-        self._calls: dict[NodeId, list[list[AttemptOrder]]] = {}
+        self._calls = CallBatch(settings.limits.batch)
         self._open_part_count = 0  # parts of queries that are not over
         self._finished_parts: list[int] = []  # ids, removed at the end of this step
         self._withdrawn: list[tuple[OpenPart, int]] = []  # open attempts of parts that ended now
@@ -110,7 +109,7 @@
     def step(self, now: int, inputs: Iterable[Input]) -> list[Order]:
         """Pass one batch to the module and turn its actions into orders, in the module's order."""
         self.now = max(now, self.now)
-        self._orders, self._calls = [], {}
+        self._orders = []
         events, self._next_events = self._next_events, []
         for item in inputs:
             self._process_input(item, events)
@@ -127,8 +126,7 @@
         withdrawn = [Withdraw(part.id, at) for part, at in self._withdrawn if not part.attempts[at].ended]
         self._withdrawn.clear()
         # Starts come first, so a stop in the same batch always names an attempt that the I/O layer knows.
-        starts = [StartCall(node, tuple(call)) for node, calls in self._calls.items() for call in calls]
-        return [*withdrawn, *starts, *self._orders]
+        return [*withdrawn, *self._calls.take(), *self._orders]
 
     def _call_module(self, events: list[Event]) -> list[Action]:
         """The module's actions. If it raises, that is reported; queries it lost end at their deadline."""
@@ -198,6 +196,7 @@
             return
         attempt = part.attempts[item.attempt]
         attempt.ended, attempt.never_ran = True, item.result in PROVED_UNRUN
+        attempt.cause = item.cause or item.result.name
         query = part.query
         if item.result is Result.OK and not part.ok and not query.over:
             part.ok, part.body = True, item.body  # a duplicate's answer never replaces the first
@@ -251,6 +250,7 @@
         number = len(part.attempts)
         violation = self.rules.send_violation(self.now, part, action)
         send_complete_by = self.rules.send_complete_by(part)
+        reason = part.retry_reason()
         part.attempts.append(Attempt(action.node, self.now, ended=bool(violation), never_ran=bool(violation)))
         if violation:
             self._record_breach(violation, f"part {action.part} attempt {number} to {action.node.hex()}")
@@ -275,11 +275,10 @@
             part.ask.payload,
             query.ask.name,
             query.ask.handle,
+            query.ask.kind,
+            reason,
         )
-        calls = self._calls.setdefault(action.node, [])
-        if not calls or len(calls[-1]) >= self.settings.limits.batch:
-            calls.append([])
-        calls[-1].append(order)
+        self._calls.add(action.node, order)
 
     def _cancel(self, part_id: int, attempt: int) -> None:
         part = self.parts.get(part_id)
@@ -297,8 +296,7 @@
     def _refuse(self, query: OpenQuery, retry_in: int) -> None:
         """Refuse a query. A refusal promises that a retry is safe; where it is not, the query fails."""
         verdict = Verdict.REFUSED
-        unsent = {(o.part, o.attempt) for calls in self._calls.values() for call in calls for o in call}
-        if self.rules.effect_may_exist(query, unsent):
+        if self.rules.effect_may_exist(query, self._calls.attempts()):
             self._record_breach("refuse_may_have_run", f"query {query.id}")
             verdict, retry_in = Verdict.FAILED, 0
         self._finish(query, verdict, retry_in, self._failure_cause(query))
@@ -368,9 +366,7 @@
         if query.sent_at != self.now:
             return
         # Sends of this batch for a query that ended later in the same batch must not go out.
-        for node, calls in list(self._calls.items()):
-            kept = [[order for order in call if not self._drop_if_over(order)] for call in calls]
-            self._calls[node] = [call for call in kept if call]
+        self._calls.drop(self._drop_if_over)
 
     def _withdraw(self, part: OpenPart) -> None:
         """The part is no longer needed: attempts of it that still wait in the I/O layer must not be sent.
--- a/quincepath/broker/driver/state.py
+++ b/quincepath/broker/driver/state.py
@@ -24,6 +24,7 @@
     sent: int
     ended: bool = False
     never_ran: bool = False  # proved; an attempt that has not ended may still run
+    cause: str = ""  # why it ended
 
 
 @dataclass(slots=True)
@@ -42,6 +43,13 @@
         """Whether at least one attempt has not ended."""
         return any(not attempt.ended for attempt in self.attempts)
 
+    def retry_reason(self) -> str:
+        """Why a further attempt begins: how the latest attempt that has ended did; empty for the first."""
+        if not self.attempts:
+            return ""
+        ended = [attempt.cause for attempt in self.attempts if attempt.ended]
+        return ended[-1] if ended else "hedged request: the earlier attempt is late"
+
     def first_possible_run(self) -> int | None:
         """When the first attempt that may have run, or may still run, was sent."""
         return next((attempt.sent for attempt in self.attempts if not attempt.never_ran), None)
--- a/quincepath/orders.py
+++ b/quincepath/orders.py
@@ -106,7 +106,8 @@
 
     The I/O layer may hold it back while it waits for a connection or for a full socket. The first byte must
     be sent by ``send_start_by`` and the last by ``send_complete_by``, otherwise the attempt is not made.
-    ``send_start_by <= send_complete_by <= deadline``.
+    ``send_start_by <= send_complete_by <= deadline``. ``kind`` is the class of its query. ``reason`` says for
+    logs why a further attempt begins.
     """
 
     part: int
@@ -119,6 +120,8 @@
     payload: Any
     query_name: str
     ask: int = 0  # handle of the ask that it belongs to
+    kind: int = 0
+    reason: str = ""
 
 
 @dataclass(slots=True, frozen=True)
--- a/quincepath/platform/service.py
+++ b/quincepath/platform/service.py
@@ -297,6 +297,7 @@
     def _execute(self, order: Any) -> None:
         match order:
             case StartCall():
+                self._log_retries(order)
                 self.nodes.start(order)
             case StopAttempt(part, attempt):
                 self.nodes.stop(part, attempt)
@@ -316,6 +317,16 @@
                 if not self._discovery_ok:  # else the open watch reports all changes
                     self.discovery.refresh()
 
+    def _log_retries(self, call: StartCall) -> None:
+        """Log attempts after a part's first; their number is bounded by the retry budget."""
+        for order in call.attempts:
+            if order.attempt:
+                self.counts["further attempts"] += 1
+                log.info(
+                    "query=%s shard=%d attempt=%d node=%s reason=%s", order.query_name, order.shard,
+                    order.attempt, call.node.decode("ascii", "replace"), order.reason,
+                )  # fmt: skip
+
     def _finish(self, finish: Finish) -> None:
         exchange = self._remove_exchange(finish.handle, may_have_run=finish.attempts > 0)
         if exchange is None:
