Frames: a reply of the usual length is whole whatever lies behind it; headers decide soon

Cause: a good reply with printable bytes behind it could be cut off by a wrong length, so it ended as an error, each time. The module did not know of it; its own time-out ended the attempt meanwhile, and the next replica's reply was held likewise. Change: what earlier accepted replies say about length decides, by class: where the values of a class have one length (three at the start, 32 after others), a value of that length is whole. Else a started header has 40 ms (or twice the node's longest gap between pieces, as before) to go on, by a timer of its own. Wrong values are caught as before: a cut one is shorter than the usual one. A connection with stray bytes and nothing in flight takes no new part: its reply would follow them.

--- a/quincepath/platform/connection.py
+++ b/quincepath/platform/connection.py
@@ -83,7 +83,7 @@
     def send(self, frame: OutgoingFrame) -> None:
         """Queue the frame of a call; the connection may carry its ids."""
         for attempt in frame.attempts:
-            self.state.add(self.owner.loop.now, attempt.id, attempt)
+            self.state.add(self.owner.loop.now, attempt.id, attempt, attempt.order.kind)
         self.queue.append(frame)
         self._pump()
 
@@ -167,7 +167,12 @@
         return True
 
     def _on_data(self, data: bytes) -> None:
-        matched, frame_error = self.state.receive(self.owner.loop.now, data)
+        self._on_received(*self.state.receive(self.owner.loop.now, data))
+
+    def _on_confirm_time(self) -> None:
+        self._on_received(*self.state.confirm(self.owner.loop.now))
+
+    def _on_received(self, matched: Matched, frame_error: FrameError | None) -> None:
         self._set_confirm_timer()
         self._on_matched(matched)
         if frame_error is not None:
@@ -185,9 +190,7 @@
             self._confirm_timer = None
         if self.state.confirm_at is not None:
             self.owner.counts["held_back"] += 1
-            self._confirm_timer = self.owner.loop.call_at(
-                self.state.confirm_at, lambda: self._on_matched(self.state.confirm(self.owner.loop.now))
-            )
+            self._confirm_timer = self.owner.loop.call_at(self.state.confirm_at, self._on_confirm_time)
 
     def on_frame_error(self, frame_error: FrameError) -> None:
         """The bytes received are invalid: their attempt failed, the others end with the connection."""
--- a/quincepath/platform/connection_state.py
+++ b/quincepath/platform/connection_state.py
@@ -9,16 +9,17 @@
 
 A reply whose declared length is wrong looks whole: its value lacks bytes, or ends with bytes of the next
 frame. Only the bytes behind it show that, because no frame begins there. So a reply with bytes behind it is
-matched once those begin a frame, and is invalid if they do not. There is one exception: a node may send noise
-behind a valid reply when nothing else waits on the connection. Values are printable text, so noise that could
-not be the end of the value leaves the reply valid then. A reply that nothing follows yet is held back for a
-moment where earlier replies give a reason (``ReplyEvidence``).
+matched once those begin a frame. If they do not, it is whole if its value has the usual length, or if nothing
+else waits on the connection, where a node may send noise behind a valid reply, and the noise could not be the
+end of the value, which is printable text. Else it is in doubt: its attempt ends as an error, but its part may
+have been answered (``DoubtfulReplyError``). A reply that nothing follows yet is held back for a moment where
+earlier replies give a reason (``ReplyEvidence``). Each of these is decided within some tens of milliseconds.
 """
 
 from collections.abc import Hashable
 from dataclasses import dataclass
 
-from quincepath.platform.frames import FrameError, FrameHeaderError, FrameReader, Reply
+from quincepath.platform.frames import DoubtfulReplyError, FrameError, FrameHeaderError, FrameReader, Reply
 from quincepath.platform.reply_evidence import ReplyEvidence
 
 NEVER_NS = 1 << 62  # a time that is never reached
@@ -48,6 +49,7 @@
     """One connection to ``node``. Keys are the caller's own names of attempts.
 
     ``confirm_at`` is set while a whole reply is held back: ``confirm`` is to be called at that time.
+    ``held_id`` is the id of its part then, else empty.
     """
 
     def __init__(
@@ -63,10 +65,11 @@
         self.confirm_at: int | None = None
         self.reader = FrameReader()
         self.in_flight: dict[bytes, Hashable] = {}
+        self._kinds: dict[bytes, int] = {}  # classes of the parts in flight
         self.cancelled: set[bytes] = set()
         self.answered: dict[bytes, int] = {}  # answered ids, and from when on they may be sent again
         self.retired = False
-        self._unconfirmed: Reply | None = None  # whole, but the bytes behind it make no header yet
+        self._unconfirmed: Reply | None = None  # whole, but not known to be valid yet
         self._last_cancelled_at: int | None = None
         self.used_at = now  # when bytes were last sent or received
         self.received_at = now  # when bytes were last received
@@ -78,9 +81,14 @@
         self.used_at = self.received_at = self.waiting_since = now
 
     def has_capacity(self, now: int, parts: int = 1) -> bool:
-        """Whether so many parts may be sent: not full, not retired, not suspect, not near its idle limit."""
+        """Whether so many parts may be sent: not full, not retired, not suspect, not near its idle limit.
+
+        Bytes behind the last reply with nothing in flight would precede the next reply.
+        """
         if self.retired or len(self.in_flight) + len(self.cancelled) + parts > self.capacity:
             return False
+        if self.reader.mid_frame and not self.in_flight:
+            return False
         return not self.suspect(now) and now < self.used_at + int(USABLE_IDLE_SHARE * self.timeouts.idle)
 
     def suspect(self, now: int) -> bool:
@@ -97,16 +105,18 @@
             part not in self.in_flight and part not in self.cancelled and now >= self.answered.get(part, now)
         )
 
-    def add(self, now: int, part: bytes, key: Hashable) -> None:
-        """Register an attempt whose frame is queued on this connection."""
+    def add(self, now: int, part: bytes, key: Hashable, kind: int = 0) -> None:
+        """Register an attempt whose frame is queued on this connection; ``kind`` is the class of its part."""
         if not self.in_flight:
             self.waiting_since = now
         self.in_flight[part] = key
+        self._kinds[part] = kind
         self.answered.pop(part, None)
         self.used_at = now
 
     def cancel(self, now: int, part: bytes) -> None:
         """Nobody waits for a part any more; its reply may still arrive."""
+        self._kinds.pop(part, None)
         if self.in_flight.pop(part, None) is not None:
             self.cancelled.add(part)
             self._last_cancelled_at = now
@@ -114,6 +124,7 @@
 
     def remove(self, part: bytes) -> None:
         """Remove an attempt whose frame was never sent: no reply can arrive."""
+        self._kinds.pop(part, None)
         self.in_flight.pop(part, None)
 
     def stalled(self, now: int) -> bool:
@@ -126,10 +137,10 @@
         silent = now > self.received_at + int(STALLED_REPLY_DIAL_TIMEOUTS * self.timeouts.dial)
         return silent or now > self.reply_since + WHOLE_REPLY_DIAL_TIMEOUTS * self.timeouts.dial
 
-    def stall_error(self) -> FrameError:
-        """The error of a connection that is ``stalled``; it concerns the unconfirmed reply, if any."""
-        part = b"" if self._unconfirmed is None else self._unconfirmed.id
-        return FrameError("a reply that began does not go on", part)
+    @property
+    def held_id(self) -> bytes:
+        """The id of the part whose whole reply is held back; empty if there is none."""
+        return b"" if self._unconfirmed is None else self._unconfirmed.id
 
     def receive(self, now: int, data: bytes) -> tuple[Matched, FrameError | None]:
         """Replies by attempt, and the error in the bytes after them, if there is one."""
@@ -138,22 +149,29 @@
         for position, reply in enumerate(replies, 1):
             if position == len(replies):
                 if isinstance(frame_error, FrameHeaderError) and self._may_be_cut_off(now, reply):
-                    return matched, FrameError(f"a reply's length is wrong: {frame_error.text}", reply.id)
+                    return matched, self._doubt(reply, frame_error.text)
                 if frame_error is None and self._held_back(now, reply):
                     break
             if not self._match(now, reply, matched):
                 return matched, frame_error or FrameError("a reply to a part that was never sent here")
         return matched, frame_error
 
-    def confirm(self, now: int) -> Matched:
-        """The reply that was held back, if its time is over and no bytes have arrived behind it meanwhile."""
-        if self.confirm_at is None or now < self.confirm_at:
-            return []
-        return self._release(now)
+    def confirm(self, now: int) -> tuple[Matched, FrameError | None]:
+        """The reply that was held back if its time is over; the error if a header behind it does not go on."""
+        if self.confirm_at is None or self._unconfirmed is None or now < self.confirm_at:
+            return [], None
+        if self.reader.mid_header:
+            self.confirm_at = None
+            return [], self._doubt(self._unconfirmed, "the bytes behind it do not go on")
+        return self._release(now), None
 
     def end(self, now: int) -> Matched:
         """The node has ended the connection in order: nothing can follow a whole reply that was held back."""
-        return [] if self.confirm_at is None else self._release(now)
+        return [] if self.confirm_at is None or self.reader.mid_header else self._release(now)
+
+    @staticmethod
+    def _doubt(reply: Reply, text: str) -> DoubtfulReplyError:
+        return DoubtfulReplyError(f"a reply's length is wrong: {text}", reply.id, reply.status == b"good")
 
     def _release(self, now: int) -> Matched:
         reply, self._unconfirmed, self.confirm_at = self._unconfirmed, None, None
@@ -167,8 +185,9 @@
         if reply.id in self.in_flight:
             matched.append((self.in_flight.pop(reply.id), reply))
             self._remember_answered(now, reply)
+            kind = self._kinds.pop(reply.id, 0)
             if reply.status == b"good":
-                self.evidence.observe_value(len(reply.value))
+                self.evidence.observe_value(len(reply.value), kind)
         elif reply.id in self.cancelled:
             self.cancelled.discard(reply.id)
             self.answered[reply.id] = NEVER_NS
@@ -178,20 +197,25 @@
 
     def _held_back(self, now: int, reply: Reply) -> bool:
         """Keep a reply whose length may be wrong until the bytes behind it, or their absence, show that."""
+        hold = 0
         if self.reader.mid_header:
             if self._may_be_cut_off(now, reply):
-                self._unconfirmed = reply
+                hold = self.evidence.header_hold_time(now, self.node, self._longest_hold)
         elif not self.reader.mid_frame and reply.id in self.in_flight:
             hold = self._hold_time(now, reply)
-            if hold:
-                self._unconfirmed, self.confirm_at = reply, now + hold
-        return self._unconfirmed is not None
+        if hold:
+            self._unconfirmed, self.confirm_at = reply, now + hold
+        return hold > 0
+
+    @property
+    def _longest_hold(self) -> int:
+        return int(STALLED_REPLY_DIAL_TIMEOUTS * self.timeouts.dial)
 
     def _hold_time(self, now: int, reply: Reply) -> int:
-        longest_hold = int(STALLED_REPLY_DIAL_TIMEOUTS * self.timeouts.dial)
         if reply.status != b"good":
-            return longest_hold if reply.value else 0
-        return self.evidence.hold_time(now, self.node, len(reply.value), longest_hold)
+            return self._longest_hold if reply.value else 0
+        kind = self._kinds.get(reply.id, 0)
+        return self.evidence.hold_time(now, self.node, len(reply.value), self._longest_hold, kind)
 
     def _read(self, now: int, data: bytes) -> tuple[list[Reply], FrameError | None]:
         """The replies that are whole, a formerly unconfirmed one first, and the error after them, if any."""
@@ -215,6 +239,9 @@
 
     def _may_be_cut_off(self, now: int, reply: Reply) -> bool:
         """Whether bytes that are no frame, behind this reply, could belong to it or to the next one."""
+        kind = self._kinds.get(reply.id, 0)
+        if reply.status == b"good" and self.evidence.is_usual(len(reply.value), kind):
+            return False
         return (
             self.reader.rest_could_continue_value
             or self._others_wait(now, reply.id)
--- a/quincepath/platform/frames.py
+++ b/quincepath/platform/frames.py
@@ -26,6 +26,17 @@
         self.text, self.part = text, part
 
 
+class DoubtfulReplyError(FrameError):
+    """Bytes behind the whole reply to ``part`` are no frame: it is valid with noise behind it, or cut off.
+
+    ``good``: whether it has a value, so that its part may have been answered.
+    """
+
+    def __init__(self, text: str, part: bytes, good: bool) -> None:
+        super().__init__(text, part)
+        self.good = good
+
+
 class FrameHeaderError(FrameError):
     """No frame begins where one should: the bytes are noise, or the frame before them has a wrong length."""
 
--- a/quincepath/platform/nodes.py
+++ b/quincepath/platform/nodes.py
@@ -8,7 +8,7 @@
 from quincepath.orders import AttemptEnded, StartCall
 from quincepath.platform.connection import Connection
 from quincepath.platform.connection_state import ConnectionTimeouts
-from quincepath.platform.frames import Reply, read_report
+from quincepath.platform.frames import FrameError, Reply, read_report
 from quincepath.platform.outgoing import Key, OutgoingAttempt, OutgoingFrame
 from quincepath.platform.reply_evidence import ReplyEvidence
 from quincepath.upstream.outcomes import CallEnd, CallOutcome, transport_outcome
@@ -225,7 +225,7 @@
             for connection in list(held):
                 state = connection.state
                 if state.stalled(now):
-                    connection.on_frame_error(state.stall_error())
+                    connection.on_frame_error(FrameError("a reply that began does not go on"))
                 elif connection.dial is None and not state.in_flight and not state.has_capacity(now):
                     connection.finish()  # which still sends queued cancel frames
         self.loop.call_in(SWEEP_INTERVAL_NS, self._sweep)
--- a/quincepath/platform/reply_evidence.py
+++ b/quincepath/platform/reply_evidence.py
@@ -3,6 +3,8 @@
 A reply whose declared length is wrong looks whole when a read ends just there: the bytes that contradict it
 come with the next read. So a reply is held back for a moment if its value is shorter or longer than all
 before, or if values differ in length and the replies of its node come in pieces.
+
+Where all values of a class have one length, a value of that length is whole whatever lies behind it.
 """
 
 from collections.abc import Hashable
@@ -13,6 +15,11 @@
 MIN_HOLD_NS = 2 * MS
 GAP_WINDOW_NS = 10_000 * MS  # gaps of the current and of the previous window count
 MAX_FRAGMENTING_NODES = 1024
+# How long to wait for the rest of a header that has begun behind a reply.
+HEADER_HOLD_NS = 40 * MS
+# Values of one length in a row that make it the usual one of their class: at the start, and after others.
+USUAL_AT_START = 3
+USUAL_AFTER_OTHERS = 32
 
 
 @dataclass(slots=True)
@@ -31,18 +38,46 @@
         self.since, self.previous, self.longest = now, self.longest if recent else 0, 0
 
 
+@dataclass(slots=True)
+class _Lengths:
+    """Lengths of accepted values, in characters; ``in_row`` of the last ones had the length ``last``."""
+
+    shortest: int
+    longest: int
+    last: int
+    in_row: int = 0
+
+    def observe(self, length: int) -> None:
+        """One more value was accepted."""
+        self.shortest, self.longest = min(self.shortest, length), max(self.longest, length)
+        self.in_row = self.in_row + 1 if length == self.last else 1
+        self.last = length
+
+    def is_usual(self, length: int) -> bool:
+        """Whether values have had this length, and no other, for long enough."""
+        needed = USUAL_AT_START if self.shortest == self.longest else USUAL_AFTER_OTHERS
+        return length == self.last and self.in_row >= needed
+
+
 class ReplyEvidence:
-    """Lengths of the values of all nodes, in characters, and the gaps within replies by node; times in ns."""
+    """Lengths of the values of all nodes by class, and the gaps within replies by node; times in ns."""
 
     def __init__(self) -> None:
-        self.shortest: int | None = None
-        self.longest = 0
+        self._overall: _Lengths | None = None
+        self._by_kind: dict[int, _Lengths] = {}
         self._gaps: dict[Hashable, _GapWindows] = {}
 
-    def observe_value(self, length: int) -> None:
-        """The value of a reply that was accepted has so many characters."""
-        self.shortest = length if self.shortest is None else min(self.shortest, length)
-        self.longest = max(self.longest, length)
+    def observe_value(self, length: int, kind: int = 0) -> None:
+        """The value of a reply that was accepted, of a class, has so many characters."""
+        if self._overall is None:
+            self._overall = _Lengths(length, length, length)
+        self._overall.observe(length)
+        self._by_kind.setdefault(kind, _Lengths(length, length, length)).observe(length)
+
+    def is_usual(self, length: int, kind: int = 0) -> bool:
+        """Whether a value of this length is whole: those of its class have had no other for long enough."""
+        lengths = self._by_kind.get(kind)
+        return lengths is not None and lengths.is_usual(length)
 
     def observe_gap(self, now: int, node: Hashable, gap: int) -> None:
         """Two pieces of one reply of this node arrived so long after one another."""
@@ -52,12 +87,21 @@
         windows.advance(now)
         windows.longest = max(windows.longest, gap)
 
-    def hold_time(self, now: int, node: Hashable, length: int, longest_hold: int) -> int:
+    def hold_time(self, now: int, node: Hashable, length: int, longest_hold: int, kind: int = 0) -> int:
         """How long to hold back a reply with such a value that ends a read; 0: not at all."""
-        if length == self.shortest == self.longest or self.shortest is None:
+        lengths = self._by_kind.get(kind, self._overall)
+        if lengths is None or length == lengths.shortest == lengths.longest:
             return 0
-        if not self.shortest <= length <= self.longest:
+        if not lengths.shortest <= length <= lengths.longest:
             return longest_hold
+        return min(self._gap_hold(now, node), longest_hold)
+
+    def header_hold_time(self, now: int, node: Hashable, longest_hold: int) -> int:
+        """How long to wait for the rest of a header that has begun behind a reply of this node."""
+        return min(max(self._gap_hold(now, node), HEADER_HOLD_NS), longest_hold)
+
+    def _gap_hold(self, now: int, node: Hashable) -> int:
+        """A time within which the next piece of a reply of this node arrives; 0 if it sends no pieces."""
         windows = self._gaps.get(node)
         if windows is None:
             return 0
@@ -66,4 +110,4 @@
         if not gap:
             del self._gaps[node]
             return 0
-        return min(GAP_MULTIPLE * gap + MIN_HOLD_NS, longest_hold)
+        return GAP_MULTIPLE * gap + MIN_HOLD_NS
--- a/tests/platform/test_held_back_replies.py
+++ b/tests/platform/test_held_back_replies.py
@@ -7,8 +7,11 @@
 from quincepath.platform.reply_evidence import (
     GAP_MULTIPLE,
     GAP_WINDOW_NS,
+    HEADER_HOLD_NS,
     MAX_FRAGMENTING_NODES,
     MIN_HOLD_NS,
+    USUAL_AFTER_OTHERS,
+    USUAL_AT_START,
     ReplyEvidence,
 )
 from tests.standins.node_pool import DIAL_TIMEOUT_NS, NODE, NodePoolHarness
@@ -151,9 +154,86 @@
     assert not harness.ended
 
 
+# --- bytes behind a reply ---
+
+USUAL = (VALUE,) * USUAL_AT_START
+TAILS = [b"4", b"4d", b"4d63", b"f00dcaf" * 3, "\u00e9".encode(), bytes(1), bytes(40), b"\xff" * 40]
+
+
+@pytest.mark.parametrize("out", [(1,), (1, 2)], ids=["alone", "another waits"])
+@pytest.mark.parametrize("tail", TAILS)
+def test_a_reply_of_the_usual_length_is_delivered_at_once_whatever_lies_behind_it(
+    tail: bytes, out: tuple[int, ...]
+) -> None:
+    harness = node_with_history(*USUAL, out=out)
+    harness.node.streams[0].write(reply(1) + tail)
+    harness.settle()
+    assert harness.ended[0].part == 1 and harness.ended[0].body == VALUE
+
+
+@pytest.mark.parametrize("values", [USUAL[1:], (*USUAL, "5be2", *USUAL)], ids=["too few", "others, too"])
+def test_printable_bytes_behind_a_reply_make_it_invalid_where_no_length_is_usual(
+    values: tuple[str, ...],
+) -> None:
+    harness = node_with_history(*values)
+    harness.node.streams[0].write(reply(1) + b"4d63f")
+    harness.settle()
+    assert harness.results() == {1: Result.ERROR}
+
+
+@pytest.mark.parametrize("length_error", range(-8, 0))
+def test_a_cut_reply_is_not_served_where_a_length_is_usual(length_error: int) -> None:
+    harness = node_with_history(*USUAL)
+    harness.node.streams[0].write(reply(1, length_error=length_error))
+    harness.run(HEADER_HOLD_NS + 5 * MS)
+    assert harness.results() == {1: Result.ERROR} and harness.ended[0].body is None
+
+
+@pytest.mark.parametrize("tail", [b"4", b"4d"])
+def test_a_header_that_does_not_go_on_is_decided_soon_behind_a_whole_reply(tail: bytes) -> None:
+    """The part's next attempt must not begin long after a reply that may have been good."""
+    harness = node_with_history()
+    harness.node.streams[0].write(reply(1) + tail)
+    harness.run(HEADER_HOLD_NS - 5 * MS)
+    assert not harness.ended
+    harness.run(10 * MS)
+    assert harness.results() == {1: Result.ERROR} and harness.events == ["spoilt connection"]
+
+
+def test_no_part_is_sent_behind_stray_bytes() -> None:
+    """The next reply would be read together with them, and fail."""
+    harness = node_with_history(*USUAL)
+    harness.node.streams[0].write(reply(1) + bytes(1))
+    harness.settle()
+    harness.start(2)
+    harness.run(20 * MS)
+    assert len(harness.node.streams) == 2
+    harness.node.streams[1].write(reply(2))
+    harness.settle()
+    assert harness.results() == {1: Result.OK, 2: Result.OK}
+
+
 # --- what earlier replies tell ---
 
 
+def test_each_class_has_a_usual_length_of_its_own() -> None:
+    evidence = ReplyEvidence()
+    for _ in range(USUAL_AT_START):
+        evidence.observe_value(16, 0)
+        evidence.observe_value(2, 1)
+    assert evidence.is_usual(16, 0) and evidence.is_usual(2, 1)
+    assert not evidence.is_usual(2, 0) and not evidence.is_usual(16, 2)
+    assert evidence.hold_time(0, NODE, 16, SECOND, 0) == 0
+
+
+def test_a_length_becomes_usual_again_after_others() -> None:
+    evidence = varied_evidence()
+    for _ in range(USUAL_AFTER_OTHERS):
+        assert not evidence.is_usual(5)
+        evidence.observe_value(5)
+    assert evidence.is_usual(5)
+
+
 def varied_evidence() -> ReplyEvidence:
     evidence = ReplyEvidence()
     evidence.observe_value(1)
--- a/tests/standins/surplus.py
+++ b/tests/standins/surplus.py
@@ -78,7 +78,7 @@
 
         def reply() -> None:
             self.waiting[stream] -= 1
-            if stream in self.useless:
+            if stream in self.useless or stream.closed:
                 return
             surplus = self.plan(part)
             if surplus.tail and self.waiting[stream]:
