Driver: a part whose reply is checked or doubtful gets a further attempt soon or never

Seen: where no length is usual (first replies of a process, values that differ) a part was sent again up to 0.3 s after a replica had answered it, the last time to the same replica; 7 attempts in 3,519 queries with a byte behind every reply. Cause: the connection knew that a whole reply was there, and told nobody: while it was held back the module's time-outs and late marks went on, and its end as an error looked like any failure, after which back-off and the rechecks for budget may take any time. Replies behind the invalid bytes, to parts that crossed them on the way, were thrown away with the connection. Change: the connection reports a reply that it holds back (ReplyHeld) and whether an end leaves open that the part was answered (AttemptEnded.doubtful). While it is held no attempt of the part starts, nor does this one time out; hedges that still wait for a connection get a limit (AttemptSendDeadline). A part that nothing can complete any more ends its query then. Behind invalid bytes, and in what is not read yet, replies are found by the ids in flight: of the usual length they are delivered, else their part is in doubt. The final answer's order has a module of its own (broker/driver/finishing.py).

--- a/quincepath/broker/driver/core.py
+++ b/quincepath/broker/driver/core.py
@@ -15,7 +15,9 @@
 from collections import Counter
 from collections.abc import Iterable
 
+from quincepath.broker.driver import doubtful_replies
 from quincepath.broker.driver.calls import CallBatch
+from quincepath.broker.driver.finishing import failure_cause, finish_order
 from quincepath.broker.driver.rules import PROVED_UNRUN, Rules
 from quincepath.broker.driver.state import Attempt, DecisionModule, OpenPart, OpenQuery
 from quincepath.interface import (
@@ -32,7 +34,9 @@
     Probe,
     Query,
     Refuse,
+    ReplyPending,
     Result,
+    RetryDeadline,
     Send,
     SetTimer,
     Settings,
@@ -46,7 +50,6 @@
     AttemptOrder,
     Breach,
     ClientLeft,
-    Finish,
     Input,
     LogLine,
     MembershipUpdate,
@@ -55,6 +58,7 @@
     PartRequest,
     QueryArrived,
     RefreshMembership,
+    ReplyHeld,
     StopAttempt,
     Verdict,
     Withdraw,
@@ -148,6 +152,8 @@
                 self._query_arrived(ask, events)
             case AttemptEnded():
                 self._attempt_ended(item, events)
+            case ReplyHeld(part_id, attempt):
+                self._reply_held(part_id, attempt, events)
             case ClientLeft(handle):
                 query = self._by_handle.get(handle)
                 if query is not None:
@@ -201,12 +207,23 @@
         if item.result is Result.OK and not part.ok and not query.over:
             part.ok, part.body = True, item.body  # a duplicate's answer never replaces the first
             self._withdraw(part)
+        if item.doubtful and not part.ok:
+            self._orders.extend(doubtful_replies.limit_retries(part, attempt, self.now))
+            events.append(RetryDeadline(part.id, part.retry_by))
         final = item.result is Result.OK or query.over or self.now >= query.deadline
         elapsed = self.now - attempt.sent
         events.append(Outcome(part.id, item.attempt, attempt.node, item.result, elapsed, final, item.report))
         if query.over and not part.in_flight():
             self._finished_parts.append(part.id)
 
+    def _reply_held(self, part_id: int, number: int, events: list[Event]) -> None:
+        """A whole reply is being checked: the module sends nothing more of its part meanwhile."""
+        part = self.parts.get(part_id)
+        if part is None or part.ok or number >= len(part.attempts) or part.attempts[number].ended:
+            return
+        self._orders.extend(doubtful_replies.hold(part, number, self.now))
+        events.append(ReplyPending(part_id, number))
+
     # --- actions to orders ---
 
     def _apply_action(self, action: Action) -> None:
@@ -236,11 +253,7 @@
                 self._record_breach("probe_unsupported", node.hex())
 
     def _failure_cause(self, query: OpenQuery) -> str:
-        if self.now >= query.deadline - 3 * self.settings.tick:
-            return "time is up"
-        if not query.sent:
-            return "not expected to finish in time"
-        return "needed parts cannot be had"
+        return failure_cause(query, self.now, self.settings.tick)
 
     def _send(self, action: Send) -> None:
         part = self.parts.get(action.part)
@@ -269,7 +282,7 @@
             number,
             part.ask.shard,
             part.step,
-            min(self.rules.send_start_by(action.node), send_complete_by),
+            min(self.rules.send_start_by(action.node), part.retry_by, send_complete_by),
             send_complete_by,
             deadline,
             part.ask.payload,
@@ -333,22 +346,7 @@
         self._finish(query, Verdict.ANSWERED, 0, "")
 
     def _finish(self, query: OpenQuery, verdict: Verdict, retry_in: int, cause: str) -> None:
-        answered = verdict is Verdict.ANSWERED
-        parts = [part for part in query.parts if part.ok]
-        self._orders.append(
-            Finish(
-                handle=query.ask.handle,
-                verdict=verdict,
-                whole=answered and query.whole,
-                parts_in=len(parts),
-                parts_asked=len(query.parts),
-                bodies=tuple((p.step, p.ask.shard, p.body) for p in parts) if answered else (),
-                retry_in=retry_in,
-                cause=cause,
-                attempts=query.sent,
-                took=self.now - query.began,
-            )
-        )
+        self._orders.append(finish_order(query, verdict, retry_in, cause, self.now))
         self._close(query)
 
     def _close(self, query: OpenQuery) -> None:
--- a/quincepath/broker/driver/rules.py
+++ b/quincepath/broker/driver/rules.py
@@ -7,11 +7,10 @@
 
 from dataclasses import dataclass
 
-from quincepath.broker.driver.state import OpenPart, OpenQuery
+from quincepath.broker.driver.state import NEVER, OpenPart, OpenQuery
 from quincepath.interface import Effect, Members, NodeId, Phase, Result, Scope, Send, Settings
 
 PROVED_UNRUN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)  # results that rule out any effect
-NEVER = 1 << 62  # ns, a time that is never reached
 GONE_RETENTION_NS = 60_000_000_000  # past the grace; then a holder that is gone is forgotten
 
 
@@ -73,6 +72,10 @@
             return "send_after_end"
         if part.ok:
             return "send_of_part_in"
+        if part.reply_held():
+            return "send_while_reply_held"
+        if now > part.retry_by:
+            return "send_past_doubtful_reply"
         if len(part.attempts) >= limits.attempts:
             return "send_beyond_attempts"
         if not limits.duplicate and part.in_flight():
--- a/quincepath/broker/driver/state.py
+++ b/quincepath/broker/driver/state.py
@@ -7,6 +7,8 @@
 from quincepath.interface import Action, Event, NodeId
 from quincepath.orders import Ask, PartRequest
 
+NEVER = 1 << 62  # ns, a time that is never reached
+
 
 class DecisionModule(Protocol):
     """Takes all events of one moment and returns all actions."""
@@ -25,6 +27,7 @@
     ended: bool = False
     never_ran: bool = False  # proved; an attempt that has not ended may still run
     cause: str = ""  # why it ended
+    held_at: int | None = None  # when a whole reply to it arrived that is being checked
 
 
 @dataclass(slots=True)
@@ -38,6 +41,11 @@
     attempts: list[Attempt] = field(default_factory=list)
     body: Any = None
     ok: bool = False
+    retry_by: int = NEVER  # latest start of a further attempt: the part may have been answered
+
+    def reply_held(self) -> bool:
+        """Whether a whole reply to one of its attempts is being checked."""
+        return any(attempt.held_at is not None and not attempt.ended for attempt in self.attempts)
 
     def in_flight(self) -> bool:
         """Whether at least one attempt has not ended."""
--- a/quincepath/interface.py
+++ b/quincepath/interface.py
@@ -226,7 +226,39 @@
     until: int
 
 
-Event = Members | Query | Part | Outcome | Probed | Left | TimerFired | Opened | FromPeer | Allowance
+@dataclass(slots=True, frozen=True)
+class ReplyPending:
+    """A whole reply to an attempt has arrived and is being checked; its ``Outcome`` follows soon.
+
+    No further attempt of the part may be sent before that.
+    """
+
+    part: int
+    attempt: int
+
+
+@dataclass(slots=True, frozen=True)
+class RetryDeadline:
+    """The part may have been answered: no further attempt of it may be sent after ``at`` (ns)."""
+
+    part: int
+    at: int
+
+
+Event = (
+    Members
+    | Query
+    | Part
+    | Outcome
+    | Probed
+    | Left
+    | TimerFired
+    | Opened
+    | FromPeer
+    | Allowance
+    | ReplyPending
+    | RetryDeadline
+)
 
 
 @dataclass(slots=True, frozen=True)
--- a/quincepath/net/stream.py
+++ b/quincepath/net/stream.py
@@ -5,6 +5,7 @@
 import struct
 from collections import deque
 from collections.abc import Callable
+from contextlib import suppress
 
 from quincepath.net.closing import Event, State, discards_data, next_state
 from quincepath.net.loop import READ, WRITE, Loop
@@ -147,6 +148,17 @@
         """Whether the peer has ended the stream or reset it, as far as that is known behind unread bytes."""
         return self.peek() == b"" or self.loop.system.peer_ended(self.sock) is True
 
+    def take_unread(self) -> bytes:
+        """Read what has arrived and return it, for a stream that is about to be closed."""
+        chunks: list[bytes] = []
+        with suppress(OSError):
+            while not self.closed and len(chunks) < MAX_FINAL_READS:
+                size = self.sock.recv_into(_READ_BUFFER)
+                if not size:
+                    break
+                chunks.append(bytes(_READ_BUFFER[:size]))
+        return b"".join(chunks)
+
     def read_pending(self, max_reads: int) -> int:
         """Read what has arrived, now and not in later turns; returns the number of reads."""
         reads = 0
--- a/quincepath/orders.py
+++ b/quincepath/orders.py
@@ -54,7 +54,8 @@
 class AttemptEnded:
     """An attempt ended. ``body`` is the decoded answer if the result is OK, else ``cause`` says why not.
 
-    ``report`` holds the values of a load report received with it, in the order of the settings.
+    ``report`` holds the values of a load report received with it, in the order of the settings. ``doubtful``:
+    the node sent a whole reply that may have been valid, so that its part may have been answered.
     """
 
     part: int
@@ -63,6 +64,15 @@
     body: Any = None
     cause: str = ""
     report: tuple[float, ...] = ()
+    doubtful: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class ReplyHeld:
+    """A whole reply to an attempt has arrived and is being checked; its ``AttemptEnded`` follows soon."""
+
+    part: int
+    attempt: int
 
 
 @dataclass(slots=True, frozen=True)
@@ -86,7 +96,7 @@
     allowance: Allowance
 
 
-Input = QueryArrived | AttemptEnded | ClientLeft | MembershipUpdate | AllowanceUpdate
+Input = QueryArrived | AttemptEnded | ReplyHeld | ClientLeft | MembershipUpdate | AllowanceUpdate
 
 
 # --- orders ---
@@ -160,6 +170,15 @@
     at: int
 
 
+@dataclass(slots=True, frozen=True)
+class AttemptSendDeadline:
+    """This attempt may not start to be sent after ``at``: its part may have been answered."""
+
+    part: int
+    attempt: int
+    at: int
+
+
 @dataclass(slots=True, frozen=True)
 class Finish:
     """The one final answer. ``bodies`` holds the results of received parts, as (step, shard, body)."""
@@ -196,4 +215,14 @@
     """Read the list of holders again, as the decision module requests."""
 
 
-Order = StartCall | StopAttempt | Withdraw | NodeSendDeadline | Finish | LogLine | Breach | RefreshMembership
+Order = (
+    StartCall
+    | StopAttempt
+    | Withdraw
+    | NodeSendDeadline
+    | AttemptSendDeadline
+    | Finish
+    | LogLine
+    | Breach
+    | RefreshMembership
+)
--- a/quincepath/platform/connection.py
+++ b/quincepath/platform/connection.py
@@ -3,7 +3,7 @@
 import errno
 import socket
 from collections import Counter, deque
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Protocol
 
 from quincepath.interface import NodeId
@@ -11,7 +11,14 @@
 from quincepath.net.loop import Loop, Timer
 from quincepath.net.stream import CLEAN_END, Stream
 from quincepath.platform.connection_state import ConnectionState, ConnectionTimeouts, Matched
-from quincepath.platform.frames import MAX_FRAME_BYTES, CallPart, FrameError, Reply, call_frame, cancel_frame
+from quincepath.platform.frames import (
+    MAX_FRAME_BYTES,
+    CallPart,
+    FrameError,
+    Reply,
+    call_frame,
+    cancel_frame,
+)
 from quincepath.platform.outgoing import OutgoingAttempt, OutgoingFrame
 from quincepath.platform.reply_evidence import ReplyEvidence
 from quincepath.upstream.outcomes import CallEnd, CallOutcome, transport_outcome
@@ -33,8 +40,12 @@
         """Called with the whole reply to an attempt."""
         ...
 
-    def end_attempt(self, attempt: OutgoingAttempt, outcome: CallOutcome) -> None:
-        """Called when an attempt has ended."""
+    def on_reply_held(self, attempt: OutgoingAttempt) -> None:
+        """Called when a whole reply to an attempt has arrived that is being checked."""
+        ...
+
+    def end_attempt(self, attempt: OutgoingAttempt, outcome: CallOutcome, *, doubtful: bool = False) -> None:
+        """Called when an attempt has ended; ``doubtful``: a whole reply to it may have been valid."""
         ...
 
     def detach(self, connection: "Connection") -> None:
@@ -190,32 +201,70 @@
             self._confirm_timer = None
         if self.state.confirm_at is not None:
             self.owner.counts["held_back"] += 1
+            held = self.state.in_flight.get(self.state.held_id)
+            if isinstance(held, OutgoingAttempt):
+                self.owner.on_reply_held(held)
             self._confirm_timer = self.owner.loop.call_at(self.state.confirm_at, self._on_confirm_time)
 
     def on_frame_error(self, frame_error: FrameError) -> None:
         """The bytes received are invalid: their attempt failed, the others end with the connection."""
         self.owner.counts["spoilt"] += 1
-        # Which attempt the bytes were for is often unreadable: then the longest waiting one is assumed.
-        sent = [a for a in self.state.in_flight.values() if isinstance(a, OutgoingAttempt) and a.sent]
-        concerned = self.state.in_flight.get(frame_error.part) or (sent[0] if sent else None)
-        if isinstance(concerned, OutgoingAttempt):
+        doubtful_ids = self._recover(frame_error)
+        concerned = self._concerned(frame_error, doubtful_ids)
+        if concerned is not None:
             self.state.cancel(self.owner.loop.now, concerned.id)
-            self.owner.end_attempt(concerned, transport_outcome(CallEnd.PROTOCOL, frame_error.text))
+            outcome = transport_outcome(CallEnd.PROTOCOL, frame_error.text)
+            self.owner.end_attempt(concerned, outcome, doubtful=concerned.id in doubtful_ids)
         self.owner.on_event("spoilt connection", self.node, frame_error.text)
         unsent = transport_outcome(CallEnd.LOST_UNSENT, frame_error.text)
-        self.end_all(unsent, transport_outcome(CallEnd.CLOSED_AFTER_BAD_ANSWER, frame_error.text))
+        sent = transport_outcome(CallEnd.CLOSED_AFTER_BAD_ANSWER, frame_error.text)
+        self.end_all(unsent, sent, doubtful_ids=doubtful_ids)
+
+    def _recover(self, frame_error: FrameError) -> set[bytes]:
+        """Deliver valid replies behind invalid bytes; returns the ids of parts whose reply is doubtful."""
+        unread = b"" if self.stream is None else self.stream.take_unread()
+        matched, doubtful_ids = self.state.recover(self.owner.loop.now, unread, frame_error)
+        self.owner.counts["recovered"] += len(matched)
+        self._on_matched(matched)
+        return doubtful_ids
+
+    def _concerned(self, frame_error: FrameError, doubtful_ids: set[bytes]) -> OutgoingAttempt | None:
+        """The attempt that invalid bytes were for; if unreadable, the longest waiting one is assumed."""
+        named = self.state.in_flight.get(frame_error.part)
+        if isinstance(named, OutgoingAttempt):
+            return named
+        for attempt in self.state.in_flight.values():
+            if isinstance(attempt, OutgoingAttempt) and attempt.sent and attempt.id not in doubtful_ids:
+                return attempt
+        return None
 
     def _on_lost(self, text: str) -> None:
         if text == CLEAN_END:
             self._on_matched(self.state.end(self.owner.loop.now))
         self.end_all(transport_outcome(CallEnd.LOST_UNSENT, text), transport_outcome(CallEnd.LOST, text))
 
-    def end_all(self, unsent: CallOutcome, sent: CallOutcome, reset: bool = False) -> None:
-        """Close the connection; each attempt on it ends according to whether its frame was sent."""
+    def end_all(
+        self,
+        unsent: CallOutcome,
+        sent: CallOutcome,
+        reset: bool = False,
+        doubtful_ids: Collection[bytes] = (),
+    ) -> None:
+        """Close the connection; each attempt on it ends according to whether its frame was sent.
+
+        ``doubtful_ids``: of parts that may have been answered, besides that of a reply that is held back.
+        """
         attempts = [a for a in self.state.in_flight.values() if isinstance(a, OutgoingAttempt)]
+        doubtful_ids = {*doubtful_ids, self.state.held_id}
         self.close(reset)
         for attempt in attempts:
-            self.owner.end_attempt(attempt, sent if attempt.sent else unsent)
+            self.owner.end_attempt(
+                attempt, sent if attempt.sent else unsent, doubtful=attempt.id in doubtful_ids
+            )
+
+    def holds_reply(self, attempt: OutgoingAttempt) -> bool:
+        """Whether a whole reply to it has arrived and is being checked."""
+        return not self.closed and self.state.held_id == attempt.id
 
     def finish(self) -> None:
         """Close with no attempt in flight, once what was just written has reached the node.
--- a/quincepath/platform/connection_state.py
+++ b/quincepath/platform/connection_state.py
@@ -157,7 +157,7 @@
         return matched, frame_error
 
     def confirm(self, now: int) -> tuple[Matched, FrameError | None]:
-        """The reply that was held back if its time is over; the error if a header behind it does not go on."""
+        """The reply held back, if its time is over; the error, if a header behind it does not go on."""
         if self.confirm_at is None or self._unconfirmed is None or now < self.confirm_at:
             return [], None
         if self.reader.mid_header:
@@ -169,6 +169,26 @@
         """The node has ended the connection in order: nothing can follow a whole reply that was held back."""
         return [] if self.confirm_at is None or self.reader.mid_header else self._release(now)
 
+    def recover(self, now: int, unread: bytes, frame_error: FrameError) -> tuple[Matched, set[bytes]]:
+        """Look for replies behind invalid bytes: those that are whole, and the ids of parts in doubt.
+
+        Only the usual length of a value shows that such a reply is whole.
+        """
+        self.reader.append(unread)
+        matched: Matched = []
+        doubtful: set[bytes] = set()
+        if isinstance(frame_error, DoubtfulReplyError) and frame_error.good:
+            doubtful.add(frame_error.part)
+        for part in [part for part in self.in_flight if part != frame_error.part]:
+            reply = self.reader.find_good(part)
+            if reply is None:
+                continue
+            if self.evidence.is_usual(len(reply.value), self._kinds.get(part, 0)):
+                self._match(now, reply, matched)
+            else:
+                doubtful.add(part)
+        return matched, doubtful
+
     @staticmethod
     def _doubt(reply: Reply, text: str) -> DoubtfulReplyError:
         return DoubtfulReplyError(f"a reply's length is wrong: {text}", reply.id, reply.status == b"good")
--- a/quincepath/platform/frames.py
+++ b/quincepath/platform/frames.py
@@ -147,6 +147,31 @@
         finally:
             del buffer[:at]
 
+    def append(self, data: bytes) -> None:
+        """Add bytes behind invalid ones, without parsing them."""
+        self._buffer += data
+
+    def find_good(self, part: bytes) -> Reply | None:
+        """The good reply to ``part`` behind bytes that are no frame, found by the id in its line.
+
+        Its ``value`` is empty if it is not whole or not readable.
+        """
+        buffer = self._buffer
+        at = buffer.find(b"q" + part + b" good ") - LENGTH.size
+        if at <= 0:  # at the start is the frame that is invalid itself
+            return None
+        unreadable = Reply(part, b"good", b"", "")
+        try:
+            size, _ = self._header(at)
+            line = buffer.find(b"\n", at)
+            match = _LINE.fullmatch(bytes(buffer[at + HEADER_BYTES : line])) if line >= 0 else None
+            end = at + LENGTH.size + size
+            if match is None or len(buffer) < end:
+                return unreadable
+            return self._reply(match, bytes(buffer[line + 1 : end]))
+        except FrameError:
+            return unreadable
+
     def _check_header_start(self, at: int) -> None:
         """Reject a header of which only the first bytes have arrived, as soon as they show its length."""
         start = self._buffer[at : at + LENGTH.size]
--- a/quincepath/platform/nodes.py
+++ b/quincepath/platform/nodes.py
@@ -5,7 +5,7 @@
 
 from quincepath.interface import NodeId, Result
 from quincepath.net.loop import Loop
-from quincepath.orders import AttemptEnded, StartCall
+from quincepath.orders import AttemptEnded, ReplyHeld, StartCall
 from quincepath.platform.connection import Connection
 from quincepath.platform.connection_state import ConnectionTimeouts
 from quincepath.platform.frames import FrameError, Reply, read_report
@@ -41,9 +41,10 @@
         on_ended: Callable[[AttemptEnded], None],
         report_fields: tuple[str, ...] = (),
         on_event: Callable[[str, NodeId, str], None] = lambda what, node, why: None,
+        on_held: Callable[[ReplyHeld], None] = lambda held: None,
     ) -> None:
         self.loop, self.streams, self.timeouts, self.max_per_node = loop, streams, timeouts, max_per_node
-        self.max_open = max_open
+        self.max_open, self._on_held = max_open, on_held
         self._address_of, self._on_ended, self._fields, self.on_event = (
             address_of, on_ended, report_fields, on_event
         )  # fmt: skip
@@ -144,6 +145,13 @@
                     outgoing.send_start_by = at
                     self._set_timer(outgoing)
 
+    def limit_attempt_start(self, part: int, attempt: int, at: int) -> None:
+        """This attempt may not start to be sent after ``at``."""
+        outgoing = self.in_flight.get((part, attempt))
+        if outgoing is not None and not outgoing.sent and at < outgoing.send_start_by:
+            outgoing.send_start_by = at
+            self._set_timer(outgoing)
+
     def _set_timer(self, outgoing: OutgoingAttempt) -> None:
         if outgoing.timer is not None:
             outgoing.timer.cancel()
@@ -156,10 +164,18 @@
         if self.loop.now < outgoing.expires_at():
             self._set_timer(outgoing)
             return
+        if outgoing.carrier.holds_reply(outgoing):
+            return  # it ends when its reply has been checked
         never_ran = outgoing.carrier.cancel(outgoing)
         self.counts["not_left"] += never_ran
         self.end_attempt(outgoing, transport_outcome(CallEnd.NOT_SENT if never_ran else CallEnd.TIMEOUT))
 
+    def on_reply_held(self, attempt: OutgoingAttempt) -> None:
+        """Report, once, that a whole reply to an attempt is being checked."""
+        if not attempt.reply_held:
+            attempt.reply_held = True
+            self._on_held(ReplyHeld(*attempt.key))
+
     def on_reply(self, attempt: OutgoingAttempt, reply: Reply) -> None:
         """Handle the whole reply to an attempt."""
         body = reply.value if reply.status == b"good" else None
@@ -171,16 +187,18 @@
         outcome: CallOutcome,
         body: str | None = None,
         report: tuple[float, ...] = (),
+        *,
+        doubtful: bool = False,
     ) -> None:
-        """Report the end of an attempt, once."""
+        """Report the end of an attempt, once; ``doubtful``: a whole reply to it may have been valid."""
         if self.in_flight.pop(attempt.key, None) is None:
             return
         if attempt.timer is not None:
             attempt.timer.cancel()
         self.counts[outcome.result.name.lower()] += 1
-        self._on_ended(
-            AttemptEnded(attempt.key[0], attempt.key[1], outcome.result, body, outcome.cause, report)
-        )
+        self.counts["doubtful"] += doubtful
+        part, number = attempt.key
+        self._on_ended(AttemptEnded(part, number, outcome.result, body, outcome.cause, report, doubtful))
 
     def _end_each(self, attempts: list[OutgoingAttempt], outcome: CallOutcome) -> None:
         for attempt in attempts:
--- a/quincepath/platform/outgoing.py
+++ b/quincepath/platform/outgoing.py
@@ -27,6 +27,10 @@
         """Whether a byte of its frame may have been sent."""
         ...
 
+    def holds_reply(self, attempt: "OutgoingAttempt") -> bool:
+        """Whether a whole reply to it has arrived and is being checked."""
+        ...
+
     def cancel(self, attempt: "OutgoingAttempt") -> bool:
         """Cancel an attempt that nobody waits for; returns whether it certainly never ran."""
         ...
@@ -43,6 +47,7 @@
     carrier: Carrier | None = None
     written: bool = False  # its frame is in the stream: only closing the connection keeps it from being sent
     sent: bool = False  # its last byte was accepted by the operating system
+    reply_held: bool = False  # a whole reply that is being checked was reported
     timer: ScheduledCall | None = None
 
     def may_begin(self, now: int) -> bool:
--- a/quincepath/platform/service.py
+++ b/quincepath/platform/service.py
@@ -18,6 +18,7 @@
 from quincepath.net.server import HttpServer
 from quincepath.orders import (
     AttemptEnded,
+    AttemptSendDeadline,
     Breach,
     ClientLeft,
     Finish,
@@ -27,6 +28,7 @@
     NodeSendDeadline,
     QueryArrived,
     RefreshMembership,
+    ReplyHeld,
     StartCall,
     StopAttempt,
     Verdict,
@@ -94,7 +96,7 @@
         self.nodes = NodePool(
             loop, config.site.max_streams, ConnectionTimeouts(limits.connect_timeout, limits.idle_close),
             descriptors.MAX_CONNECTIONS_PER_NODE, connection_limits.nodes, self._address_of,
-            self._on_attempt_ended, config.site.report_fields, self._on_node_event,
+            self._add_input, config.site.report_fields, self._on_node_event, self._add_input,
         )  # fmt: skip
         self.connection_limits = connection_limits
         self.client_connections = ClientConnections(connection_limits)
@@ -224,8 +226,8 @@
         listed = self.targets.nodes.get(node)
         return None if listed is None else (listed.host, listed.port)
 
-    def _on_attempt_ended(self, ended: AttemptEnded) -> None:
-        self._inputs.append(ended)
+    def _add_input(self, item: AttemptEnded | ReplyHeld) -> None:
+        self._inputs.append(item)
 
     def _on_node_event(self, what: str, node: NodeId, why: str) -> None:
         self.counts[what] += 1
@@ -305,6 +307,8 @@
                 self.nodes.withdraw(part, attempt)
             case NodeSendDeadline(node, at):
                 self.nodes.limit_send_start(node, at)
+            case AttemptSendDeadline(part, attempt, at):
+                self.nodes.limit_attempt_start(part, attempt, at)
             case Finish():
                 self._finish(order)
             case LogLine(text):
--- a/quincepath/policy/aggregator.py
+++ b/quincepath/policy/aggregator.py
@@ -12,6 +12,8 @@
     Part,
     Query,
     QueryClass,
+    ReplyPending,
+    RetryDeadline,
     TimerFired,
     Watch,
 )
@@ -36,6 +38,10 @@
         match event:
             case Outcome():
                 return self._apply_outcome(event)
+            case ReplyPending():
+                self._apply_reply_pending(event)
+            case RetryDeadline():
+                self._apply_retry_deadline(event)
             case TimerFired(token):
                 if token == LIST_TOKEN:
                     self.actions.append(Watch(True))
--- a/quincepath/policy/learning.py
+++ b/quincepath/policy/learning.py
@@ -1,6 +1,6 @@
 """Learning from outcomes: what an ended attempt tells about its part, its query and its node."""
 
-from quincepath.interface import Effect, Log, Outcome, Result
+from quincepath.interface import Effect, Log, Outcome, ReplyPending, Result, RetryDeadline
 from quincepath.policy.ending import Ending
 from quincepath.policy.members import NodeList
 from quincepath.policy.nodes import Node
@@ -13,6 +13,22 @@
 class Learning(NodeList, Ending):
     """Applies the outcomes of attempts."""
 
+    def _apply_reply_pending(self, event: ReplyPending) -> None:
+        """A reply is being checked: its attempt is not late any more."""
+        part = self.parts.get(event.part)
+        if part is None or event.attempt >= len(part.attempts):
+            return
+        attempt = part.attempts[event.attempt]
+        attempt.reply_pending = True
+        part.query.in_time.pop(attempt, None)
+
+    def _apply_retry_deadline(self, event: RetryDeadline) -> None:
+        """A reply was doubtful: the part is retried soon or not at all."""
+        part = self.parts.get(event.part)
+        if part is not None:
+            part.retry_by = event.at
+            part.query.retry_deadlines.append(event.at)
+
     def _apply_outcome(self, event: Outcome) -> QueryState | None:
         part = self.parts.get(event.part)
         if part is None or event.attempt >= len(part.attempts):
@@ -51,6 +67,8 @@
             if self.now >= query.target_at:  # spread the remaining attempts over the client's remaining time
                 remaining = max(self.limits.attempts - len(part.attempts), 0) + 1
                 part.not_before = max(part.not_before, self.now + (query.end - self.now) // remaining)
+            if part.retry_by is not None:  # a later attempt could follow an answer that the node sent
+                part.not_before = self.now
             attempt.failed = event.result is not Result.TIMEOUT
             if event.result is Result.RESET:
                 query.lost_connections += 1
--- a/quincepath/policy/queries.py
+++ b/quincepath/policy/queries.py
@@ -11,6 +11,7 @@
     def __init__(self, part: "PartState", node: Node, call: Call, now: int) -> None:
         self.part, self.node, self.call, self.sent_at, self.calls_before = part, node, call, now, node.calls
         self.late = self.cancelled = self.failed = False  # failed: ended at once, leaves no work behind
+        self.reply_pending = False  # a whole reply has arrived and is being checked
 
 
 class PartState:
@@ -23,8 +24,13 @@
         self.live: list[Attempt] = []
         self.ok = self.closed = False  # closed: no attempt may follow
         self.not_before = 0  # earliest time of a further attempt
+        self.retry_by: int | None = None  # latest time of one: a doubtful reply may have answered the part
         self.may_have_run_since: int | None = None  # when the first attempt that may have run was sent
 
+    def awaits_reply_check(self) -> bool:
+        """Whether a whole reply to one of its open attempts is being checked."""
+        return any(attempt.reply_pending for attempt in self.live)
+
     def add_to_sums(self, sign: int) -> None:
         """Add this part to its query's sums, or subtract it; called around each change of the part."""
         query, weight = self.query, sign * self.weight
@@ -62,6 +68,7 @@
         # or with an open attempt (active), and with an attempt that may have left work at a node (started).
         self.weight_in = self.weight_covered = self.weight_active = self.weight_started = self.heaviest = 0.0
         self.attempts_sent = self.open_attempts = 0
+        self.retry_deadlines: list[int] = []  # of parts that a doubtful reply may have answered
         self.in_time: dict[Attempt, None] = {}  # open attempts that are not late, oldest first
 
     def need(self) -> float:
--- a/quincepath/policy/sending.py
+++ b/quincepath/policy/sending.py
@@ -84,7 +84,7 @@
         may_hedge = self.limits.duplicate and query.spec.effect is Effect.SAFE and not overdue
         for _, part in sorted(query.uncovered.items()):
             eligible = part.attempts and (may_hedge or not part.live) and self.now >= part.not_before
-            if not eligible or not self._may_still_send(part):
+            if not eligible or part.awaits_reply_check() or not self._may_still_send(part):
                 continue
             found = self._best_replica(part)
             if found and all(found[0][0] <= a.node.load(self.now, query.kind) for a in part.live):
@@ -95,6 +95,8 @@
         """Whether a further attempt is allowed; of a part with effects only if unrun or inside its window."""
         if part.closed or len(part.attempts) >= self.limits.attempts or not any(self._replicas(part.shard)):
             return False
+        if part.retry_by is not None and self.now > part.retry_by:
+            return False
         spec, leaves_by = part.query.spec, self.now + ANSWER_MARGIN_TICKS * self.settings.tick
         return (
             part.may_have_run_since is None
@@ -146,6 +148,7 @@
             (query.end if query.spec.late_worth > 0 else min(query.end, query.target_at)) - self.now, 1
         )
         may_retry = query.spec.effect is not Effect.UNSAFE and len(part.attempts) < self.limits.attempts
+        may_retry = may_retry and part.retry_by is None  # it would have passed when this attempt timed out
         if (
             self.limits.duplicate
             or not may_retry
@@ -170,4 +173,6 @@
         )
         if blocked:
             times.append(self.now + BLOCKED_RECHECK)
+            # A query that no attempt can complete any more is given up at once.
+            times.extend(at + 1 for at in query.retry_deadlines if at >= self.now)
         return min(times)
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -44,7 +44,8 @@
 class Node:
     """One node. ``received`` holds (part id, shard) of each attempt, ``cancelled`` the cancelled ids.
 
-    ``received_waits`` holds (part id, ms) as each told; ``answer_silent`` answers the ``silent`` ones.
+    ``received_waits`` holds (part id, ms) as each told, ``received_at`` when each came, ``good_at`` when the
+    first good answer was sent; ``answer_silent`` answers the ``silent`` ones.
     """
 
     def __init__(self, loop: Loop, name: str) -> None:
@@ -54,6 +55,8 @@
         self.default_behavior = "good"
         self.received: list[tuple[str, int]] = []
         self.received_waits: list[tuple[str, int]] = []
+        self.received_at: list[int] = []
+        self.good_at: int | None = None
         self._silent: list[tuple[Stream, bytes]] = []
         self.cancelled: list[str] = []
         self.streams: list[Stream] = []
@@ -82,6 +85,7 @@
                 assert wait.startswith("d=") and int(length) == len(text)
                 self.received.append((part, int(shard)))
                 self.received_waits.append((part, int(wait[2:])))
+                self.received_at.append(self.loop.clock())
                 behavior = self.behaviors.pop(0) if self.behaviors else self.default_behavior
                 self.loop.call_in(WORK_NS, self._reply_callback(stream, behavior, part, text.decode()))
 
@@ -116,6 +120,12 @@
                     stream.write(frame(b"q", b"nobody.0 good 7 -\nx"))
                 case "twice":
                     stream.write(good + good)
+                case "and a character":
+                    self.good_at = self.good_at or self.loop.clock()
+                    stream.write(good + b"4")
+                case "longer":
+                    self.good_at = self.good_at or self.loop.clock()
+                    stream.write(frame(b"q", part.encode() + b" good 7 -\n" + value + b"and more"))
                 case "and noise":
                     stream.write(good + b"\0\0\0\0\0\0")
                 case "report":
--- a/tests/standins/surplus.py
+++ b/tests/standins/surplus.py
@@ -11,9 +11,11 @@
 import struct
 import sys
 import tempfile
+import threading
 import time
 from collections import Counter
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -95,11 +97,20 @@
 
 
 class SurplusProcess(BrokerProcess):
-    """A broker process whose list names the nodes of a world."""
+    """A broker process whose list names the nodes of a world; ``log`` is what it has written."""
 
     def __init__(self, folder: Path, document: Callable[[int], dict[str, Any]]) -> None:
         self._document = document
+        self.log: list[str] = []
         super().__init__(folder, sys.executable, "-m", MODULE)
+        threading.Thread(target=self._read_log, daemon=True).start()
+
+    def _read_log(self) -> None:
+        """Keep the pipe empty: a full one would stop the process."""
+        assert self.popen.stderr is not None
+        with suppress(ValueError):  # closed at the end
+            for line in self.popen.stderr:
+                self.log.append(line)
 
     def write(self, discovery: str) -> None:
         self.file.write_text(json.dumps(self._document(self.port)))
@@ -277,6 +288,19 @@
         world.loop.turn(0.01)
 
 
+def explain(world: World) -> None:
+    """Print the times of parts with late attempts (ms after the first), and the broker's lines about them."""
+    for part, record in world.records.items():
+        if not record.late() or record.answered is None:
+            continue
+        name, _, shard = part.partition(".")
+        begun = [(at - record.begun[0]) // MS for at in record.begun]
+        print(part, "begun", begun, "answered", (record.answered - record.begun[0]) // MS)
+        for line in world.process.log:
+            if f"query={name} " in line and ("shard=" not in line or f"shard={shard} " in line):
+                print("   ", line.rstrip())
+
+
 def main() -> None:
     """Play one run and print its figures."""
     parser = argparse.ArgumentParser(description=main.__doc__)
@@ -287,6 +311,7 @@
     parser.add_argument("--share", type=float, default=0.5)
     parser.add_argument("--spoilt", type=float, default=0.0)
     parser.add_argument("--by-attempt", action="store_true", help="draw anew for each attempt")
+    parser.add_argument("--explain", action="store_true", help="print the log of queries with late attempts")
     parser.add_argument("--lengths", type=int, nargs=2, default=(16, 16))
     words = parser.parse_args()
     plan = mixed_plan(words.seed, words.share, words.tail, words.spoilt, words.by_attempt)
@@ -298,6 +323,8 @@
         finally:
             world.end()
     tally = world.tally
+    if words.explain:
+        explain(world)
     print(
         f"{words.tail}, share {words.share}, spoilt {words.spoilt}, seed {words.seed}: "
         f"served {tally.served} of {tally.asked}, wrong {tally.wrong}, late {world.late_attempts()}, "
--- a/tests/test_policy_cost.py
+++ b/tests/test_policy_cost.py
@@ -19,7 +19,8 @@
 from benchmarks import capacity_probe_module as probe
 from benchmarks.replay_worlds import CASES, Case, World, case_settings
 from quincepath.broker.driver import Driver
-from quincepath.broker.driver.rules import GONE_RETENTION_NS, NEVER, Rules
+from quincepath.broker.driver.rules import GONE_RETENTION_NS, Rules
+from quincepath.broker.driver.state import NEVER
 from quincepath.interface import Action, Event, Members, Outcome, Phase, Result, Scope, Send
 from quincepath.orders import MembershipUpdate
 from quincepath.policy import Aggregator, QueryState
