Platform: a good reply that crosses its attempt's cancellation after a time-out counts

Seen in the search for related paths: where a replica answered just as the module's time-out cancelled the attempt, the reply was dropped, the part was sent again, and again after the next time-out, though a node had answered it. Cause: the connection ignored every reply to a cancelled id. That is right where the module stopped the attempt, as its part is in or its query over then; after a time-out the part is still open. Change: the connection keeps for whom a timed-out id was sent. Its good reply is reported (LateReply), the driver takes it as the part's answer, withdraws what waits, and tells the module (LateAnswer), which cancels open attempts. A doubtful one limits further attempts like any doubtful reply. Other statuses count for nothing, as before.

--- a/quincepath/broker/driver/core.py
+++ b/quincepath/broker/driver/core.py
@@ -12,13 +12,12 @@
 
 import heapq
 import traceback
-from collections import Counter
 from collections.abc import Iterable
 
-from quincepath.broker.driver import doubtful_replies
+from quincepath.broker.driver.attempt_ends import AttemptEnds
 from quincepath.broker.driver.calls import CallBatch
 from quincepath.broker.driver.finishing import failure_cause, finish_order
-from quincepath.broker.driver.rules import PROVED_UNRUN, Rules
+from quincepath.broker.driver.rules import Rules
 from quincepath.broker.driver.state import Attempt, DecisionModule, OpenPart, OpenQuery
 from quincepath.interface import (
     Action,
@@ -34,9 +33,7 @@
     Probe,
     Query,
     Refuse,
-    ReplyPending,
     Result,
-    RetryDeadline,
     Send,
     SetTimer,
     Settings,
@@ -48,9 +45,9 @@
     Ask,
     AttemptEnded,
     AttemptOrder,
-    Breach,
     ClientLeft,
     Input,
+    LateReply,
     LogLine,
     MembershipUpdate,
     NodeSendDeadline,
@@ -67,15 +64,13 @@
 WEIGHT_TOLERANCE = 1e-4  # rounding error allowed in sums of weights
 
 
-class Driver:
+class Driver(AttemptEnds):
     """Tracks one broker's queries around one decision module. ``grace``: drain grace of rule 3, in ns."""
 
     def __init__(self, module: DecisionModule, settings: Settings, grace: int) -> None:
+        super().__init__()
         self.module, self.settings = module, settings
-        self.now = 0
-        self.breaches: Counter[str] = Counter()
         self.queries: dict[int, OpenQuery] = {}
-        self.parts: dict[int, OpenPart] = {}
         self._by_handle: dict[int, OpenQuery] = {}
         self.rules = Rules(settings, grace)
         self._timers: list[tuple[int, int, int]] = []
@@ -83,11 +78,8 @@
         self._next_events: list[Event] = []  # for the next batch: second steps, outcomes of dropped sends
         self._last_id = 0
         self._timer_count = 0
-        self._orders: list[Order] = []
         self._calls = CallBatch(settings.limits.batch)
         self._open_part_count = 0  # parts of queries that are not over
-        self._finished_parts: list[int] = []  # ids, removed at the end of this step
-        self._withdrawn: list[tuple[OpenPart, int]] = []  # open attempts of parts that ended now
 
     # --- called by the I/O layer ---
 
@@ -152,8 +144,10 @@
                 self._query_arrived(ask, events)
             case AttemptEnded():
                 self._attempt_ended(item, events)
-            case ReplyHeld(part_id, attempt):
-                self._reply_held(part_id, attempt, events)
+            case ReplyHeld():
+                self._reply_held(item, events)
+            case LateReply():
+                self._late_reply(item, events)
             case ClientLeft(handle):
                 query = self._by_handle.get(handle)
                 if query is not None:
@@ -193,37 +187,6 @@
             events.append(Part(part.id, query.id, request.weight, request.shard, key, 0))
         return events
 
-    def _attempt_ended(self, item: AttemptEnded, events: list[Event]) -> None:
-        part = self.parts.get(item.part)
-        if part is None or item.attempt >= len(part.attempts) or part.attempts[item.attempt].ended:
-            self._record_breach(
-                "ending_unknown", f"part {item.part} attempt {item.attempt}: {item.result.name}"
-            )
-            return
-        attempt = part.attempts[item.attempt]
-        attempt.ended, attempt.never_ran = True, item.result in PROVED_UNRUN
-        attempt.cause = item.cause or item.result.name
-        query = part.query
-        if item.result is Result.OK and not part.ok and not query.over:
-            part.ok, part.body = True, item.body  # a duplicate's answer never replaces the first
-            self._withdraw(part)
-        if item.doubtful and not part.ok:
-            self._orders.extend(doubtful_replies.limit_retries(part, attempt, self.now))
-            events.append(RetryDeadline(part.id, part.retry_by))
-        final = item.result is Result.OK or query.over or self.now >= query.deadline
-        elapsed = self.now - attempt.sent
-        events.append(Outcome(part.id, item.attempt, attempt.node, item.result, elapsed, final, item.report))
-        if query.over and not part.in_flight():
-            self._finished_parts.append(part.id)
-
-    def _reply_held(self, part_id: int, number: int, events: list[Event]) -> None:
-        """A whole reply is being checked: the module sends nothing more of its part meanwhile."""
-        part = self.parts.get(part_id)
-        if part is None or part.ok or number >= len(part.attempts) or part.attempts[number].ended:
-            return
-        self._orders.extend(doubtful_replies.hold(part, number, self.now))
-        events.append(ReplyPending(part_id, number))
-
     # --- actions to orders ---
 
     def _apply_action(self, action: Action) -> None:
@@ -366,13 +329,6 @@
         # Sends of this batch for a query that ended later in the same batch must not go out.
         self._calls.drop(self._drop_if_over)
 
-    def _withdraw(self, part: OpenPart) -> None:
-        """The part is no longer needed: attempts of it that still wait in the I/O layer must not be sent.
-
-        This also applies where brokers may not cancel, because nothing is recalled that a node may have.
-        """
-        self._withdrawn.extend((part, at) for at, attempt in enumerate(part.attempts) if not attempt.ended)
-
     def _drop_if_over(self, order: AttemptOrder) -> bool:
         part = self.parts.get(order.part)
         if part is None or not part.query.over:
@@ -393,7 +349,3 @@
                 self._record_breach("query_overdue", f"query {query.id} had no answer at its deadline")
                 self._finish(query, Verdict.FAILED, 0, "time is up")
                 self._next_events.append(Left(query.id))
-
-    def _record_breach(self, name: str, detail: str) -> None:
-        self.breaches[name] += 1
-        self._orders.append(Breach(name, detail))
--- a/quincepath/interface.py
+++ b/quincepath/interface.py
@@ -245,6 +245,14 @@
     at: int
 
 
+@dataclass(slots=True, frozen=True)
+class LateAnswer:
+    """The part is answered, by an attempt whose ``Outcome`` was a time-out."""
+
+    part: int
+    attempt: int
+
+
 Event = (
     Members
     | Query
@@ -258,6 +266,7 @@
     | Allowance
     | ReplyPending
     | RetryDeadline
+    | LateAnswer
 )
 
 
--- a/quincepath/orders.py
+++ b/quincepath/orders.py
@@ -96,7 +96,16 @@
     allowance: Allowance
 
 
-Input = QueryArrived | AttemptEnded | ReplyHeld | ClientLeft | MembershipUpdate | AllowanceUpdate
+@dataclass(slots=True, frozen=True)
+class LateReply:
+    """A good reply to an attempt that has ended as timed out; ``body`` is None if it is doubtful."""
+
+    part: int
+    attempt: int
+    body: Any
+
+
+Input = QueryArrived | AttemptEnded | ReplyHeld | LateReply | ClientLeft | MembershipUpdate | AllowanceUpdate
 
 
 # --- orders ---
--- a/quincepath/platform/connection.py
+++ b/quincepath/platform/connection.py
@@ -4,7 +4,7 @@
 import socket
 from collections import Counter, deque
 from collections.abc import Callable, Collection
-from typing import Protocol
+from typing import Protocol, cast
 
 from quincepath.interface import NodeId
 from quincepath.net.dial import CONNECT_TIMED_OUT, Dial, describe_connect_error
@@ -19,7 +19,7 @@
     call_frame,
     cancel_frame,
 )
-from quincepath.platform.outgoing import OutgoingAttempt, OutgoingFrame
+from quincepath.platform.outgoing import Key, OutgoingAttempt, OutgoingFrame
 from quincepath.platform.reply_evidence import ReplyEvidence
 from quincepath.upstream.outcomes import CallEnd, CallOutcome, transport_outcome
 
@@ -44,6 +44,10 @@
         """Called when a whole reply to an attempt has arrived that is being checked."""
         ...
 
+    def on_late_reply(self, key: Key, reply: Reply | None) -> None:
+        """Called with the good reply to an attempt that has timed out; None if it is doubtful."""
+        ...
+
     def end_attempt(self, attempt: OutgoingAttempt, outcome: CallOutcome, *, doubtful: bool = False) -> None:
         """Called when an attempt has ended; ``doubtful``: a whole reply to it may have been valid."""
         ...
@@ -152,7 +156,7 @@
     def cancel(self, attempt: OutgoingAttempt) -> bool:
         """Cancel an attempt that nobody waits for; returns whether it certainly never ran."""
         if attempt.sent:
-            self.state.cancel(self.owner.loop.now, attempt.id)
+            self.state.cancel(self.owner.loop.now, attempt.id, attempt.key if attempt.timed_out else None)
             self.queue.append(OutgoingFrame(data=cancel_frame(attempt.id)))
             self._pump()
             return False
@@ -190,9 +194,18 @@
             self.on_frame_error(frame_error)
 
     def _on_matched(self, matched: Matched) -> None:
-        for attempt, reply in matched:
-            assert isinstance(attempt, OutgoingAttempt)
-            self.owner.on_reply(attempt, reply)
+        for key, reply in matched:
+            if isinstance(key, OutgoingAttempt):
+                self.owner.on_reply(key, reply)
+            else:
+                self.owner.on_late_reply(cast(Key, key), reply)
+
+    def _report_late_doubt(self, ids: Collection[bytes]) -> None:
+        """Attempts that have timed out may have been answered after all."""
+        for part in ids:
+            late_key = self.state.timed_out.get(part)
+            if late_key is not None:
+                self.owner.on_late_reply(cast(Key, late_key), None)
 
     def _set_confirm_timer(self) -> None:
         """Deliver a reply that is held back when its time is over."""
@@ -204,6 +217,7 @@
             held = self.state.in_flight.get(self.state.held_id)
             if isinstance(held, OutgoingAttempt):
                 self.owner.on_reply_held(held)
+            self._report_late_doubt([self.state.held_id])
             self._confirm_timer = self.owner.loop.call_at(self.state.confirm_at, self._on_confirm_time)
 
     def on_frame_error(self, frame_error: FrameError) -> None:
@@ -256,6 +270,7 @@
         """
         attempts = [a for a in self.state.in_flight.values() if isinstance(a, OutgoingAttempt)]
         doubtful_ids = {*doubtful_ids, self.state.held_id}
+        self._report_late_doubt(doubtful_ids)
         self.close(reset)
         for attempt in attempts:
             self.owner.end_attempt(
--- a/quincepath/platform/connection_state.py
+++ b/quincepath/platform/connection_state.py
@@ -67,6 +67,7 @@
         self.in_flight: dict[bytes, Hashable] = {}
         self._kinds: dict[bytes, int] = {}  # classes of the parts in flight
         self.cancelled: set[bytes] = set()
+        self.timed_out: dict[bytes, Hashable] = {}  # those of them whose reply still counts
         self.answered: dict[bytes, int] = {}  # answered ids, and from when on they may be sent again
         self.retired = False
         self._unconfirmed: Reply | None = None  # whole, but not known to be valid yet
@@ -114,11 +115,17 @@
         self.answered.pop(part, None)
         self.used_at = now
 
-    def cancel(self, now: int, part: bytes) -> None:
-        """Nobody waits for a part any more; its reply may still arrive."""
-        self._kinds.pop(part, None)
+    def cancel(self, now: int, part: bytes, late_key: Hashable | None = None) -> None:
+        """Nobody waits for a part any more; its reply may still arrive.
+
+        With ``late_key`` a good reply still counts, and is matched to that name.
+        """
         if self.in_flight.pop(part, None) is not None:
             self.cancelled.add(part)
+            if late_key is not None:
+                self.timed_out[part] = late_key
+            else:
+                self._kinds.pop(part, None)
             self._last_cancelled_at = now
             self.retired |= len(self.cancelled) >= MAX_CANCELLED_SHARE * self.capacity
 
@@ -179,7 +186,7 @@
         doubtful: set[bytes] = set()
         if isinstance(frame_error, DoubtfulReplyError) and frame_error.good:
             doubtful.add(frame_error.part)
-        for part in [part for part in self.in_flight if part != frame_error.part]:
+        for part in [part for part in (*self.in_flight, *self.timed_out) if part != frame_error.part]:
             reply = self.reader.find_good(part)
             if reply is None:
                 continue
@@ -201,18 +208,24 @@
         return matched
 
     def _match(self, now: int, reply: Reply, matched: Matched) -> bool:
-        """Match one reply to its attempt, if it still waits; returns whether its part was sent here."""
+        """Match one reply to its attempt, if it still counts; returns whether its part was sent here."""
+        good = reply.status == b"good"
         if reply.id in self.in_flight:
             matched.append((self.in_flight.pop(reply.id), reply))
             self._remember_answered(now, reply)
-            kind = self._kinds.pop(reply.id, 0)
-            if reply.status == b"good":
-                self.evidence.observe_value(len(reply.value), kind)
         elif reply.id in self.cancelled:
             self.cancelled.discard(reply.id)
             self.answered[reply.id] = NEVER_NS
+            late_key = self.timed_out.pop(reply.id, None)
+            if late_key is None:
+                return True
+            if good:
+                matched.append((late_key, reply))
         else:
             return reply.id in self.answered  # a duplicate reply is harmless
+        kind = self._kinds.pop(reply.id, 0)
+        if good:
+            self.evidence.observe_value(len(reply.value), kind)
         return True
 
     def _held_back(self, now: int, reply: Reply) -> bool:
@@ -221,7 +234,7 @@
         if self.reader.mid_header:
             if self._may_be_cut_off(now, reply):
                 hold = self.evidence.header_hold_time(now, self.node, self._longest_hold)
-        elif not self.reader.mid_frame and reply.id in self.in_flight:
+        elif not self.reader.mid_frame and (reply.id in self.in_flight or reply.id in self.timed_out):
             hold = self._hold_time(now, reply)
         if hold:
             self._unconfirmed, self.confirm_at = reply, now + hold
--- a/quincepath/platform/nodes.py
+++ b/quincepath/platform/nodes.py
@@ -5,7 +5,7 @@
 
 from quincepath.interface import NodeId, Result
 from quincepath.net.loop import Loop
-from quincepath.orders import AttemptEnded, ReplyHeld, StartCall
+from quincepath.orders import AttemptEnded, LateReply, ReplyHeld, StartCall
 from quincepath.platform.connection import Connection
 from quincepath.platform.connection_state import ConnectionTimeouts
 from quincepath.platform.frames import FrameError, Reply, read_report
@@ -25,6 +25,7 @@
 class NodePool:
     """All connections. ``on_ended`` is called once for each attempt started.
 
+    ``on_report`` is called with replies that are being checked or that come after their attempt's time-out.
     ``address_of(node)`` gives the address, None where the node is on no list any more; ``streams`` is the
     number of parts that a connection carries at once, ``max_per_node`` the most connections to one node and
     ``max_open`` to all nodes together.
@@ -41,10 +42,10 @@
         on_ended: Callable[[AttemptEnded], None],
         report_fields: tuple[str, ...] = (),
         on_event: Callable[[str, NodeId, str], None] = lambda what, node, why: None,
-        on_held: Callable[[ReplyHeld], None] = lambda held: None,
+        on_report: Callable[[ReplyHeld | LateReply], None] = lambda report: None,
     ) -> None:
         self.loop, self.streams, self.timeouts, self.max_per_node = loop, streams, timeouts, max_per_node
-        self.max_open, self._on_held = max_open, on_held
+        self.max_open, self._on_report = max_open, on_report
         self._address_of, self._on_ended, self._fields, self.on_event = (
             address_of, on_ended, report_fields, on_event
         )  # fmt: skip
@@ -166,6 +167,7 @@
             return
         if outgoing.carrier.holds_reply(outgoing):
             return  # it ends when its reply has been checked
+        outgoing.timed_out = True
         never_ran = outgoing.carrier.cancel(outgoing)
         self.counts["not_left"] += never_ran
         self.end_attempt(outgoing, transport_outcome(CallEnd.NOT_SENT if never_ran else CallEnd.TIMEOUT))
@@ -174,7 +176,12 @@
         """Report, once, that a whole reply to an attempt is being checked."""
         if not attempt.reply_held:
             attempt.reply_held = True
-            self._on_held(ReplyHeld(*attempt.key))
+            self._on_report(ReplyHeld(*attempt.key))
+
+    def on_late_reply(self, key: Key, reply: Reply | None) -> None:
+        """Report the good reply to an attempt that has timed out; None if it is doubtful."""
+        self.counts["late_reply"] += 1
+        self._on_report(LateReply(*key, None if reply is None else reply.value))
 
     def on_reply(self, attempt: OutgoingAttempt, reply: Reply) -> None:
         """Handle the whole reply to an attempt."""
--- a/quincepath/platform/outgoing.py
+++ b/quincepath/platform/outgoing.py
@@ -47,6 +47,7 @@
     carrier: Carrier | None = None
     written: bool = False  # its frame is in the stream: only closing the connection keeps it from being sent
     sent: bool = False  # its last byte was accepted by the operating system
+    timed_out: bool = False  # a good reply to it still counts: it may be on its way
     reply_held: bool = False  # a whole reply that is being checked was reported
     timer: ScheduledCall | None = None
 
--- a/quincepath/platform/service.py
+++ b/quincepath/platform/service.py
@@ -23,6 +23,7 @@
     ClientLeft,
     Finish,
     Input,
+    LateReply,
     LogLine,
     MembershipUpdate,
     NodeSendDeadline,
@@ -226,7 +227,7 @@
         listed = self.targets.nodes.get(node)
         return None if listed is None else (listed.host, listed.port)
 
-    def _add_input(self, item: AttemptEnded | ReplyHeld) -> None:
+    def _add_input(self, item: AttemptEnded | ReplyHeld | LateReply) -> None:
         self._inputs.append(item)
 
     def _on_node_event(self, what: str, node: NodeId, why: str) -> None:
@@ -299,7 +300,7 @@
     def _execute(self, order: Any) -> None:
         match order:
             case StartCall():
-                self._log_retries(order)
+                self.counts["further attempts"] += status.log_retries(log, order)
                 self.nodes.start(order)
             case StopAttempt(part, attempt):
                 self.nodes.stop(part, attempt)
@@ -321,16 +322,6 @@
                 if not self._discovery_ok:  # else the open watch reports all changes
                     self.discovery.refresh()
 
-    def _log_retries(self, call: StartCall) -> None:
-        """Log attempts after a part's first; their number is bounded by the retry budget."""
-        for order in call.attempts:
-            if order.attempt:
-                self.counts["further attempts"] += 1
-                log.info(
-                    "query=%s shard=%d attempt=%d node=%s reason=%s", order.query_name, order.shard,
-                    order.attempt, call.node.decode("ascii", "replace"), order.reason,
-                )  # fmt: skip
-
     def _finish(self, finish: Finish) -> None:
         exchange = self._remove_exchange(finish.handle, may_have_run=finish.attempts > 0)
         if exchange is None:
--- a/quincepath/platform/status.py
+++ b/quincepath/platform/status.py
@@ -1,5 +1,6 @@
 """What a broker tells of itself: its status page, and the line of counters in its log."""
 
+import logging
 import os
 import time
 from collections import Counter
@@ -9,6 +10,7 @@
 from quincepath.net.client_connection import Exchange
 from quincepath.net.loop import Loop
 from quincepath.net.server import HttpServer
+from quincepath.orders import StartCall
 from quincepath.platform.nodes import NodePool
 from quincepath.platform.targets import TargetTable
 
@@ -51,6 +53,17 @@
     )
 
 
+def log_retries(log: logging.Logger, call: StartCall) -> int:
+    """Log attempts after a part's first, which the retry budget bounds; returns their number."""
+    retries = [order for order in call.attempts if order.attempt]
+    for order in retries:
+        log.info(
+            "query=%s shard=%d attempt=%d node=%s reason=%s", order.query_name, order.shard, order.attempt,
+            call.node.decode("ascii", "replace"), order.reason,
+        )  # fmt: skip
+    return len(retries)
+
+
 def status_page(broker: StatusSource) -> dict[str, Any]:
     """Counters, and by node the driver's unfinished attempts beside those on the connections."""
     believed: Counter[str] = Counter()
--- a/quincepath/policy/aggregator.py
+++ b/quincepath/policy/aggregator.py
@@ -6,6 +6,7 @@
     Action,
     Allowance,
     Event,
+    LateAnswer,
     Left,
     Members,
     Outcome,
@@ -41,7 +42,9 @@
             case ReplyPending():
                 self._apply_reply_pending(event)
             case RetryDeadline():
-                self._apply_retry_deadline(event)
+                return self._apply_retry_deadline(event)
+            case LateAnswer():
+                return self._apply_late_answer(event)
             case TimerFired(token):
                 if token == LIST_TOKEN:
                     self.actions.append(Watch(True))
--- a/quincepath/policy/learning.py
+++ b/quincepath/policy/learning.py
@@ -1,6 +1,6 @@
 """Learning from outcomes: what an ended attempt tells about its part, its query and its node."""
 
-from quincepath.interface import Effect, Log, Outcome, ReplyPending, Result, RetryDeadline
+from quincepath.interface import Effect, LateAnswer, Log, Outcome, ReplyPending, Result, RetryDeadline
 from quincepath.policy.ending import Ending
 from quincepath.policy.members import NodeList
 from quincepath.policy.nodes import Node
@@ -22,12 +22,32 @@
         attempt.reply_pending = True
         part.query.in_time.pop(attempt, None)
 
-    def _apply_retry_deadline(self, event: RetryDeadline) -> None:
+    def _apply_retry_deadline(self, event: RetryDeadline) -> QueryState | None:
         """A reply was doubtful: the part is retried soon or not at all."""
         part = self.parts.get(event.part)
-        if part is not None:
-            part.retry_by = event.at
-            part.query.retry_deadlines.append(event.at)
+        if part is None:
+            return None
+        part.retry_by, part.not_before = event.at, self.now
+        part.query.retry_deadlines.append(event.at)
+        return part.query
+
+    def _apply_late_answer(self, event: LateAnswer) -> QueryState | None:
+        """The part is answered by an attempt that had timed out: open ones are not needed."""
+        part = self.parts.get(event.part)
+        if part is None or part.ok:
+            return None
+        query = part.query
+        if query.id not in self.queries or part.step != query.step or query.awaiting_second_step:
+            return None
+        part.add_to_sums(-1)
+        part.ok = query.has_success = True
+        for other in part.live:
+            self._cancel(other)
+        part.add_to_sums(1)
+        attempt = part.attempts[event.attempt]
+        attempt.node.last_reply_at = self.now
+        self._typical(query).learn(self.now, self.now - attempt.sent_at)
+        return query
 
     def _apply_outcome(self, event: Outcome) -> QueryState | None:
         part = self.parts.get(event.part)
