Platform, pool: replies that lie unread are read before a time-out or the module's timers

Seen in the search for related paths: sockets have 20 ms of a turn, and bytes may come behind its wait; timers then end an attempt, or the module hedges it, while its reply lies in the system. The part is sent again after a node has answered it. Cause: due timers ran on what had been read, not on what had arrived. Change: before an attempt times out its connection is read once more, on the platform and in the remote read pool; after 20 ms without a look at the sockets (the time after which clients' ends are looked for, too) replies are read before the module decides; and before a connection is reset because its socket takes no more bytes, what it has brought for others.

--- a/quincepath/net/loop.py
+++ b/quincepath/net/loop.py
@@ -65,6 +65,10 @@
         self.lag = 0
         self._unseen = 0  # how long events may have been pending that the last wait did not report
 
+    def time_unseen(self) -> int:
+        """How long (ns) bytes that no callback has read yet may have been waiting by now."""
+        return self.lag + self.clock() - self.now
+
     def watch(self, sock: socket.socket, mask: int, call: Callable[[int], None]) -> None:
         """Run ``call(ready mask)`` when the socket is ready. Replaces an earlier watch; mask 0 removes it."""
         registered = self._selector.get_map().get(sock.fileno())
--- a/quincepath/net/server.py
+++ b/quincepath/net/server.py
@@ -82,8 +82,7 @@
 
         Only then: otherwise the wait has just reported every disconnect, and each check costs a system call.
         """
-        loop = self.loop
-        if loop.lag + loop.clock() - loop.now < STALE_TURN_NS:
+        if self.loop.time_unseen() < STALE_TURN_NS:
             return
         reads_left = MAX_DISCONNECT_READS
         for connection in [item for item in self.connections if item.current is not None]:
--- a/quincepath/platform/connection.py
+++ b/quincepath/platform/connection.py
@@ -166,6 +166,7 @@
             # answer, past its window, or beside its resend. Only ending the connection prevents that; by a
             # reset, so that calls still in the system's send buffer do not arrive late either.
             text = "it took no more bytes"
+            self.read_arrived()  # replies to others
             self.owner.on_event("blocked connection", self.node, text)
             self.end_all(
                 transport_outcome(CallEnd.LOST_UNSENT, text),
@@ -277,6 +278,11 @@
                 attempt, sent if attempt.sent else unsent, doubtful=attempt.id in doubtful_ids
             )
 
+    def read_arrived(self) -> None:
+        """Read replies that have arrived, ahead of the loop's next turn."""
+        if self.stream is not None and not self.closed:
+            self.stream.read_pending(1)
+
     def holds_reply(self, attempt: OutgoingAttempt) -> bool:
         """Whether a whole reply to it has arrived and is being checked."""
         return not self.closed and self.state.held_id == attempt.id
--- a/quincepath/platform/nodes.py
+++ b/quincepath/platform/nodes.py
@@ -146,6 +146,13 @@
                     outgoing.send_start_by = at
                     self._set_timer(outgoing)
 
+    def read_arrived(self) -> None:
+        """Read replies that have arrived on all connections with attempts, ahead of the loop's next turn."""
+        for held in list(self.connections.values()):
+            for connection in list(held):
+                if connection.state.in_flight:
+                    connection.read_arrived()
+
     def limit_attempt_start(self, part: int, attempt: int, at: int) -> None:
         """This attempt may not start to be sent after ``at``."""
         outgoing = self.in_flight.get((part, attempt))
@@ -165,6 +172,11 @@
         if self.loop.now < outgoing.expires_at():
             self._set_timer(outgoing)
             return
+        if outgoing.sent:
+            outgoing.carrier.read_arrived()
+            if outgoing.key not in self.in_flight:
+                self.counts["read_before_timeout"] += 1
+                return
         if outgoing.carrier.holds_reply(outgoing):
             return  # it ends when its reply has been checked
         outgoing.timed_out = True
--- a/quincepath/platform/outgoing.py
+++ b/quincepath/platform/outgoing.py
@@ -27,6 +27,10 @@
         """Whether a byte of its frame may have been sent."""
         ...
 
+    def read_arrived(self) -> None:
+        """Read replies that have arrived, ahead of the loop's next turn."""
+        ...
+
     def holds_reply(self, attempt: "OutgoingAttempt") -> bool:
         """Whether a whole reply to it has arrived and is being checked."""
         ...
--- a/quincepath/platform/service.py
+++ b/quincepath/platform/service.py
@@ -12,7 +12,7 @@
 from quincepath.broker.driver import DecisionModule, Driver
 from quincepath.interface import Members, NodeId, Phase, Scope, Settings
 from quincepath.limits.gate import AdmissionGate, Bounds
-from quincepath.net.client_connection import ClientConnection, Exchange, Timeouts
+from quincepath.net.client_connection import STALE_TURN_NS, ClientConnection, Exchange, Timeouts
 from quincepath.net.http1 import Limits
 from quincepath.net.loop import Loop, Timer
 from quincepath.net.server import HttpServer
@@ -278,6 +278,8 @@
     def _on_turn(self) -> None:
         """The turn hook: one batch of inputs to the driver, then execute its orders."""
         began = self.loop.clock()
+        if self.loop.time_unseen() >= STALE_TURN_NS:
+            self.nodes.read_arrived()  # the module's timers must not overtake replies
         due = self.driver.next_due()
         for _ in range(MAX_ROUNDS_PER_TURN):
             if not self._inputs and (due is None or due > self.loop.now):
--- a/quincepath/upstream/pool.py
+++ b/quincepath/upstream/pool.py
@@ -163,6 +163,11 @@
         if call is not None and outcome is not None:
             self.owner.fail_call(call, outcome)
 
+    def read_arrived(self) -> None:
+        """Read a response that has arrived, ahead of the loop's next turn."""
+        if self.stream is not None:
+            self.stream.read_pending(1)
+
     def close(self) -> None:
         """Close in any state; a call in progress is not notified."""
         if self.connect_timer:
@@ -302,6 +307,10 @@
         call.timer = self.loop.call_at(due, lambda: self._on_deadline(call))
 
     def _on_deadline(self, call: _Call) -> None:
+        if call.connection is not None:
+            call.connection.read_arrived()
+            if not call.waiting:
+                return
         # While connecting nothing was sent, so the call certainly did not run.
         is_connecting = call.connection is not None and call.connection.connecting is not None
         outcome = transport_outcome(CallEnd.DIAL_TIMEOUT if is_connecting else CallEnd.TIMEOUT)
--- a/tests/test_hard_cases.py
+++ b/tests/test_hard_cases.py
@@ -2,6 +2,7 @@
 
 import os
 import resource
+import select
 import socket
 from collections.abc import Iterator
 from pathlib import Path
@@ -550,6 +551,29 @@
     assert [(e.part, e.result) for e in ended] == [(901, Result.CONNECT_FAILED)]
 
 
+def test_a_call_does_not_time_out_while_its_response_is_unread(make: Any) -> None:
+    world = make()
+    world.ask(world.plan())
+    upstream = world.broker.upstream
+    node = _node(world.leaves["a0"].port)
+    until = world.loop.at + SECOND
+    fetch = PartFetch(((0, read_request().queries[0]),))
+    order = AttemptOrder(901, 0, 0, 1, until, until, until, fetch, "x")
+    ended: list[AttemptEnded] = []
+    upstream._ended = ended.append
+    upstream.start(StartCall(node, (order,)))
+    connection = upstream.attempts[901, 0].connection
+    while connection.stream is None or not select.select([connection.stream.sock], [], [], 0)[0]:
+        assert not ended
+        world.loop.turn(0.001)
+    wait, world.loop.at = world.loop._wait, until
+    world.loop._wait = lambda seconds: []  # the time for sockets is over in this turn
+    world.loop.turn(0)
+    world.loop._wait = wait
+    upstream._ended = world.broker.turn.on_attempt_ended
+    assert [(e.part, e.result) for e in ended] == [(901, Result.OK)]
+
+
 def test_an_internal_error_fails_only_its_query(make: Any, monkeypatch: pytest.MonkeyPatch) -> None:
     world = make()
 
