Reply evidence: after other lengths only the longest one becomes the usual length

Need: after values of several lengths, 32 of one length in a row made it the usual one, and a longer value cut off to just that length would have been served. Change: a usual length is also the longest that its class has had. Result: test_a_length_becomes_usual_after_others_unless_there_were_longer_ones, one of three cases failed before.

--- a/quincepath/platform/reply_evidence.py
+++ b/quincepath/platform/reply_evidence.py
@@ -54,9 +54,9 @@
         self.last = length
 
     def is_usual(self, length: int) -> bool:
-        """Whether values have had this length, and no other, for long enough."""
+        """Whether values have had this length, and no other, for long enough, and never a longer one."""
         needed = USUAL_AT_START if self.shortest == self.longest else USUAL_AFTER_OTHERS
-        return length == self.last and self.in_row >= needed
+        return length == self.last == self.longest and self.in_row >= needed
 
 
 class ReplyEvidence:
