Node pool: a connection that drains stays open for replies to attempts that timed out

Seen in the search for related paths: a connection that is retired was closed at once when nothing was in flight; its input is dropped then, also the good reply to an attempt that has just timed out, and its part is sent again later. Change: such a connection is kept while such a reply may come, two dial time-outs of silence at most. Result: one of the two new cases of test_late_replies failed before; the other bounds the time.

--- a/quincepath/platform/connection_state.py
+++ b/quincepath/platform/connection_state.py
@@ -100,6 +100,10 @@
         waits = bool(self.in_flight or self.cancelled)
         return waits and now > self.waiting_since + SUSPECT_DIAL_TIMEOUTS * self.timeouts.dial
 
+    def awaits_replies(self, now: int) -> bool:
+        """Whether a reply may arrive that counts: to an attempt in flight, or to one that has timed out."""
+        return bool(self.in_flight) or bool(self.timed_out) and not self.suspect(now)
+
     def may_carry(self, now: int, part: bytes) -> bool:
         """Whether a reply to this id could only belong to the attempt that is about to be sent."""
         return (
--- a/quincepath/platform/nodes.py
+++ b/quincepath/platform/nodes.py
@@ -240,7 +240,7 @@
         """A node is gone or draining: close its idle connections and retire the others."""
         for connection in list(self.connections.get(node, ())):
             connection.state.retired = True
-            if not connection.state.in_flight:
+            if not connection.state.awaits_replies(self.loop.now):
                 connection.finish()
 
     def open_count(self) -> int:
@@ -263,6 +263,8 @@
                 state = connection.state
                 if state.stalled(now):
                     connection.on_frame_error(FrameError("a reply that began does not go on"))
-                elif connection.dial is None and not state.in_flight and not state.has_capacity(now):
+                elif (
+                    connection.dial is None and not state.awaits_replies(now) and not state.has_capacity(now)
+                ):
                     connection.finish()  # which still sends queued cancel frames
         self.loop.call_in(SWEEP_INTERVAL_NS, self._sweep)
--- a/tests/platform/test_late_replies.py
+++ b/tests/platform/test_late_replies.py
@@ -4,10 +4,11 @@
 
 from quincepath.interface import LateAnswer, Result, RetryDeadline, Send
 from quincepath.orders import AttemptEnded, LateReply, ReplyHeld, Withdraw
+from quincepath.platform.connection_state import SUSPECT_DIAL_TIMEOUTS
 from tests.helpers import SECOND, node_id
 from tests.platform.test_doubtful_replies import driver, platform
 from tests.platform.test_held_back_replies import USUAL, VALUE, node_with_history, reply
-from tests.standins.node_pool import NodePoolHarness
+from tests.standins.node_pool import DIAL_TIMEOUT_NS, NODE, NodePoolHarness
 from tests.standins.platform import MS
 from tests.test_driver import DriverHarness, send
 
@@ -100,3 +101,26 @@
     harness.run_until(lambda: client.status > 0)
     assert client.status == 200 and len(harness.received()) == 2
     assert harness.broker.nodes.counts["late_reply"] == 1
+
+
+def test_a_connection_to_a_draining_node_stays_open_for_a_reply_after_a_time_out() -> None:
+    harness = node_with_history(*USUAL, out=())
+    reports: list[LateReply | ReplyHeld] = []
+    harness.nodes._on_report = reports.append
+    harness.start(1, deadline=TIMEOUT_NS)
+    harness.run(TIMEOUT_NS + 5 * MS)
+    harness.nodes.close_node(NODE)
+    harness.node.streams[0].write(reply(1))
+    harness.run(5 * MS)
+    assert reports == [LateReply(1, 0, VALUE)]
+    harness.run(SECOND)
+    assert not harness.nodes.connections
+
+
+def test_a_connection_to_a_draining_node_does_not_wait_long_for_such_a_reply() -> None:
+    harness = node_with_history(*USUAL, out=())
+    harness.start(1, deadline=TIMEOUT_NS)
+    harness.run(TIMEOUT_NS + 5 * MS)
+    harness.nodes.close_node(NODE)
+    harness.run((SUSPECT_DIAL_TIMEOUTS + 1) * DIAL_TIMEOUT_NS)
+    assert not harness.nodes.connections
