Frames: a good reply with an empty load report counts, one with an unreadable line is doubtful

Seen in the search for related paths: a line with nothing behind the score was an error, though only the load report is missing; and a line that says 'good' but cannot be read ended its attempt like any failure, so that the part could be sent again at any later time although its node may count it as answered. Change: the load report may be empty. An unreadable line whose id and status can be read is a doubtful reply of that part.

--- a/quincepath/platform/frames.py
+++ b/quincepath/platform/frames.py
@@ -15,7 +15,7 @@
 MAX_LINE_BYTES = 1024  # of a reply's header line
 PRINTABLE_ASCII = range(0x20, 0x7F)
 UTF8_LEADING_BYTES = range(0xC2, 0xF5)  # of a character of more than one byte
-_LINE = re.compile(rb"([!-~]{1,256}) (good|bad|later) (-?[0-9]{1,24}) ([^\n]+)")
+_LINE = re.compile(rb"([!-~]{1,256}) (good|bad|later) (-?[0-9]{1,24}) ([^\n]*)")
 
 
 class FrameError(Exception):
@@ -27,7 +27,7 @@
 
 
 class DoubtfulReplyError(FrameError):
-    """Bytes behind the whole reply to ``part`` are no frame: it is valid with noise behind it, or cut off.
+    """The reply to ``part`` may be invalid: bytes behind it are no frame, or its line is not readable.
 
     ``good``: whether it has a value, so that its part may have been answered.
     """
@@ -138,7 +138,7 @@
                     return
                 match = _LINE.fullmatch(bytes(buffer[at + HEADER_BYTES : line]))
                 if match is None:
-                    raise FrameError("a reply's line cannot be read")
+                    raise self._line_error(bytes(buffer[at + HEADER_BYTES : line]))
                 if len(buffer) < end:
                     return
                 self.replies.append(self._reply(match, bytes(buffer[line + 1 : end])))
@@ -172,6 +172,14 @@
         except FrameError:
             return unreadable
 
+    @staticmethod
+    def _line_error(line: bytes) -> FrameError:
+        """The error of a line that cannot be read; the id and the status at its start may be readable."""
+        text, words = "a reply's line cannot be read", line.split(b" ", 2)
+        if len(words) > 1 and words[1] == b"good":
+            return DoubtfulReplyError(text, words[0], good=True)
+        return FrameError(text)
+
     def _check_header_start(self, at: int) -> None:
         """Reject a header of which only the first bytes have arrived, as soon as they show its length."""
         start = self._buffer[at : at + LENGTH.size]
--- a/tests/platform/test_doubtful_replies.py
+++ b/tests/platform/test_doubtful_replies.py
@@ -8,7 +8,7 @@
 from quincepath.platform.reply_evidence import HEADER_HOLD_NS, USUAL_AT_START
 from tests.helpers import node_id, query_class
 from tests.platform.test_held_back_replies import LONGEST_HOLD_NS, USUAL, VALUE, node_with_history, reply
-from tests.standins.platform import MS, PlatformHarness, platform_settings
+from tests.standins.platform import MS, PlatformHarness, frame, platform_settings
 from tests.test_driver import DriverHarness, send
 
 LATE_NS = 100 * MS  # after a good answer; an attempt that begins then breaks the rule
@@ -88,6 +88,24 @@
     assert {one.part: one.doubtful for one in harness.ended} == {1: True, 2: False}
 
 
+def test_a_good_reply_with_an_unreadable_line_is_doubtful() -> None:
+    harness = node_with_history(out=(1, 2))
+    harness.node.streams[0].write(frame(b"q", b"q2.0 good many inflight=1\n" + VALUE.encode()))
+    harness.run(5 * MS)
+    assert {one.part: (one.result, one.doubtful) for one in harness.ended} == {
+        1: (Result.CANCELLED, False),
+        2: (Result.ERROR, True),
+    }
+
+
+@pytest.mark.parametrize("report", ["", "=", "\x00\x07", "inflight=x,,", "-" * 900])
+def test_a_good_reply_whose_load_report_is_unreadable_is_delivered(report: str) -> None:
+    harness = node_with_history(out=(1,))
+    harness.node.streams[0].write(frame(b"q", f"q1.0 good 7 {report}\n{VALUE}".encode()))
+    harness.run(5 * MS)
+    assert harness.results() == {1: Result.OK} and harness.ended[0].body == VALUE
+
+
 @pytest.mark.parametrize("status", ["bad", "later"])
 def test_the_end_of_an_attempt_that_was_not_answered_is_not_doubtful(status: str) -> None:
     harness = node_with_history(out=(1, 2))
