--- a/tests/standins/surplus.py
+++ b/tests/standins/surplus.py
@@ -12,7 +12,6 @@
 import sys
 import tempfile
 import threading
-import time
 from collections import Counter
 from collections.abc import Callable
 from contextlib import suppress
@@ -20,14 +19,19 @@
 from pathlib import Path
 from typing import Any
 
+from quincepath.lab.virtual_loop import VirtualLoop
 from quincepath.net.http1 import request_bytes
 from quincepath.net.loop import Loop
 from quincepath.net.stream import Stream
-from tests.standins.platform import MS, Discovery, Node, frame, platform_settings
+from quincepath.platform.config import read_configuration
+from quincepath.platform.service import Broker
+from tests.standins.platform import MS, SECOND, Discovery, Node, frame, platform_settings
+from tests.standins.ports import free_port
 from tests.test_deploy import MODULE, BrokerProcess
 
 LATE_NS = 150 * MS  # after a good reply was sent: an attempt that begins then comes too late
 TARGET_NS, DEADLINE_FACTOR = 127 * MS, 3
+LONGEST_DELAY_NS, LONGEST_GAP_NS = 200 * MS, 20 * MS
 NODES, SETS, SHARDS, PARTS = 9, 3, 24, 4
 HEADERS = {"Req-Kind": "history", "Req-Owner": "acme"}
 
@@ -38,6 +42,8 @@
 
     tail: bytes = b""
     too_short: int = 0
+    delay: int = 0  # ns, on top of the usual work
+    piece_gap: int = 0  # ns, between two pieces of the reply
 
 
 SOUND = Surplus()
@@ -72,28 +78,51 @@
         self.plan, self.records, self.lengths = plan, records, lengths
         self.waiting = Counter[Stream]()
         self.useless = set[Stream]()  # connections that carried a spoilt reply
+        self.busy = set[Stream]()  # connections with half a reply
 
     def _reply_callback(self, stream: Stream, behavior: str, part: str, text: str) -> Callable[[], None]:
         record = self.records.setdefault(part, PartRecord())
         record.begun.append(self.loop.clock())
         self.waiting[stream] += 1
 
-        def reply() -> None:
+        surplus = self.plan(part)
+
+        def begin_reply() -> None:
             self.waiting[stream] -= 1
-            if stream in self.useless or stream.closed:
+            if stream in self.useless or stream.closed or part in self.cancelled:
                 return
-            surplus = self.plan(part)
-            if surplus.tail and self.waiting[stream]:
-                surplus = SOUND  # more than belongs to a reply comes only when nothing else waits
             data = frame(b"q", f"{part} good 7 inflight=3\n{value_of(part, self.lengths)}".encode())
             if surplus.too_short:
                 data = struct.pack("<I", len(data) - 4 - surplus.too_short) + data[4:]
                 self.useless.add(stream)
-            stream.write(data + surplus.tail)
+            if not self.waiting[stream]:  # more than belongs to a reply comes only when nothing else waits
+                data += surplus.tail
+            if not surplus.piece_gap:
+                end_reply(data)
+                return
+            cut = random.Random(part).randrange(1, len(data))
+            stream.write(data[:cut])
+            self.busy.add(stream)
+            self.loop.call_in(surplus.piece_gap, lambda: end_reply(data[cut:]))
+
+        def end_reply(data: bytes) -> None:
+            self.busy.discard(stream)
+            if stream.closed:
+                return
+            stream.write(data)
             if not surplus.too_short and record.answered is None:
                 record.answered = self.loop.clock()
 
-        return reply
+        def when_free() -> None:
+            if stream in self.busy:
+                self.loop.call_in(MS, when_free)
+            else:
+                begin_reply()
+
+        def start() -> None:
+            self.loop.call_in(surplus.delay, when_free)
+
+        return start
 
 
 class SurplusProcess(BrokerProcess):
@@ -126,19 +155,18 @@
 
 
 class World:
-    """One broker process, its nodes and discovery; ``Loop`` in real time."""
+    """Nodes, discovery and clients on one loop, around a broker that a subclass starts at ``port``."""
 
-    def __init__(
-        self, folder: Path, plan: Plan, lengths: range = range(16, 17), target: int = TARGET_NS
-    ) -> None:
-        self.loop, self.records, self.lengths = Loop(), dict[str, PartRecord](), lengths
+    port = 0
+
+    def __init__(self, loop: Loop, plan: Plan, lengths: range, target: int) -> None:
+        self.loop, self.records, self.lengths = loop, dict[str, PartRecord](), lengths
         self.target = target
         self.nodes = [
             SurplusNode(self.loop, f"s-{number:08x}", plan, self.records, lengths) for number in range(NODES)
         ]
         self.discovery = Discovery(self.loop)
         self.discovery.entries = {node.name: self._entry(number) for number, node in enumerate(self.nodes)}
-        self.process = SurplusProcess(folder, self._configuration)
         self.tally = Tally()
 
     def _entry(self, number: int) -> dict[str, Any]:
@@ -163,22 +191,11 @@
             "known": known, "settings": settings, "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
         }  # fmt: skip
 
-    def start(self) -> None:
-        """Return when the broker is ready; discovery and nodes are served meanwhile."""
-        self.run_until(lambda: self._accepts(), 30)
-
-    def _accepts(self) -> bool:
-        try:
-            socket.create_connection(("127.0.0.1", self.process.port), 1).close()
-        except OSError:
-            return False
-        return True
-
     def run_until(self, done: Callable[[], bool], seconds: float) -> None:
         """Serve nodes and discovery until ``done``."""
-        end = time.monotonic() + seconds
+        end = self.loop.clock() + int(seconds * SECOND)
         while not done():
-            assert time.monotonic() < end, "nothing came in time"
+            assert self.loop.clock() < end, "nothing came in time"
             self.loop.turn(0.02)
 
     def connect(self) -> "SurplusClient":
@@ -193,11 +210,45 @@
         """How many parts had so many attempts."""
         return Counter(len(record.begun) for record in self.records.values())
 
+
+class ProcessWorld(World):
+    """Around a broker process, in real time."""
+
+    def __init__(
+        self, folder: Path, plan: Plan, lengths: range = range(16, 17), target: int = TARGET_NS
+    ) -> None:
+        super().__init__(Loop(), plan, lengths, target)
+        self.process = SurplusProcess(folder, self._configuration)
+        self.port = self.process.port
+
+    def start(self) -> None:
+        """Return when the broker is ready; discovery and nodes are served meanwhile."""
+        self.run_until(self._accepts, 30)
+
+    def _accepts(self) -> bool:
+        try:
+            socket.create_connection(("127.0.0.1", self.port), 1).close()
+        except OSError:
+            return False
+        return True
+
     def end(self) -> None:
         """End the process."""
         self.process.end()
 
 
+class VirtualWorld(World):
+    """Around a broker on the same loop, in virtual time."""
+
+    def __init__(self, plan: Plan, lengths: range = range(16, 17), target: int = TARGET_NS) -> None:
+        loop = VirtualLoop()
+        super().__init__(loop, plan, lengths, target)
+        self.port = free_port()
+        document = json.dumps(self._configuration(self.port)).encode()
+        config = read_configuration(document, {"BALANCER_CONFIG": "config.json"})
+        self.broker = Broker(config, loop, wall_ms=lambda: loop.now / MS)
+
+
 class SurplusClient:
     """Asks one query after another; ``name`` is the id of the last one."""
 
@@ -205,7 +256,7 @@
         self.world = world
         self.data = b""
         self.name = ""
-        sock = socket.create_connection(("127.0.0.1", world.process.port))
+        sock = socket.create_connection(("127.0.0.1", world.port))
         self.stream = Stream(world.loop, sock, self._on_data, lambda why: None)
 
     def _on_data(self, data: bytes) -> None:
@@ -254,20 +305,36 @@
 }
 
 
-def mixed_plan(seed: int, share: float, tail: str, spoilt_share: float, by_attempt: bool = False) -> Plan:
-    """So many parts have a tail behind every reply; of these so many have a length too short instead."""
-    count = Counter[str]()
-
-    def plan(part: str) -> Surplus:
-        count[part] += 1
-        draw = random.Random(f"{seed}|{part}|{count[part] if by_attempt else 0}")
-        if draw.random() >= share:
-            return SOUND
-        if draw.random() < spoilt_share:
-            return Surplus(too_short=draw.randint(1, 8))
-        return Surplus(tail=TAILS[tail](draw))
-
-    return plan
+@dataclass(frozen=True)
+class Mix:
+    """Shares of parts, or of attempts with ``by_attempt``, that are treated in some way."""
+
+    seed: int = 1
+    share: float = 0.5  # with a tail, or with a wrong length
+    tail: str = "one printable"
+    spoilt: float = 0.0  # of these, with a length that is too short
+    by_attempt: bool = False
+    slow: float = 0.0  # answered after up to LONGEST_DELAY_NS
+    pieces: float = 0.0  # answered in two pieces
+
+    def plan(self) -> Plan:
+        """What becomes of each attempt."""
+        count = Counter[str]()
+
+        def plan(part: str) -> Surplus:
+            count[part] += 1
+            draw = random.Random(f"{self.seed}|{part}|{count[part] if self.by_attempt else 0}")
+            tail, too_short = b"", 0
+            if draw.random() < self.share:
+                if draw.random() < self.spoilt:
+                    too_short = draw.randint(1, 8)
+                else:
+                    tail = TAILS[self.tail](draw)
+            delay = draw.randrange(LONGEST_DELAY_NS) if draw.random() < self.slow else 0
+            gap = draw.randrange(MS, LONGEST_GAP_NS) if draw.random() < self.pieces else 0
+            return Surplus(tail, too_short, delay, gap)
+
+        return plan
 
 
 def play(world: World, seconds: float, clients: int, seed: int) -> None:
@@ -275,20 +342,20 @@
     draw = random.Random(seed)
     number = 0
     open_clients = [world.connect() for _ in range(clients)]
-    end = time.monotonic() + seconds
+    end = world.loop.clock() + int(seconds * SECOND)
     waiting = set[SurplusClient]()
-    while time.monotonic() < end or waiting:
+    while world.loop.clock() < end or waiting:
         for client in open_clients:
             if client in waiting and client.answered():
                 waiting.discard(client)
-            if client not in waiting and time.monotonic() < end:
+            if client not in waiting and world.loop.clock() < end:
                 number += 1
                 client.send(f"q{number:08d}", draw.sample(range(SHARDS), PARTS))
                 waiting.add(client)
         world.loop.turn(0.01)
 
 
-def explain(world: World) -> None:
+def explain(world: ProcessWorld) -> None:
     """Print the times of parts with late attempts (ms after the first), and the broker's lines about them."""
     for part, record in world.records.items():
         if not record.late() or record.answered is None:
@@ -310,13 +377,15 @@
     parser.add_argument("--tail", choices=list(TAILS), default="one printable")
     parser.add_argument("--share", type=float, default=0.5)
     parser.add_argument("--spoilt", type=float, default=0.0)
+    parser.add_argument("--slow", type=float, default=0.0)
+    parser.add_argument("--pieces", type=float, default=0.0)
     parser.add_argument("--by-attempt", action="store_true", help="draw anew for each attempt")
     parser.add_argument("--explain", action="store_true", help="print the log of queries with late attempts")
     parser.add_argument("--lengths", type=int, nargs=2, default=(16, 16))
     words = parser.parse_args()
-    plan = mixed_plan(words.seed, words.share, words.tail, words.spoilt, words.by_attempt)
+    mix = Mix(words.seed, words.share, words.tail, words.spoilt, words.by_attempt, words.slow, words.pieces)
     with tempfile.TemporaryDirectory() as folder:
-        world = World(Path(folder), plan, range(words.lengths[0], words.lengths[1] + 1))
+        world = ProcessWorld(Path(folder), mix.plan(), range(words.lengths[0], words.lengths[1] + 1))
         try:
             world.start()
             play(world, words.seconds, words.clients, words.seed)
@@ -326,7 +395,7 @@
     if words.explain:
         explain(world)
     print(
-        f"{words.tail}, share {words.share}, spoilt {words.spoilt}, seed {words.seed}: "
+        f"{mix}, lengths {words.lengths}: "
         f"served {tally.served} of {tally.asked}, wrong {tally.wrong}, late {world.late_attempts()}, "
         f"parts by attempts {dict(sorted(world.attempts().items()))}"
     )
