--- a/quincepath/broker/driver/state.py
+++ b/quincepath/broker/driver/state.py
@@ -52,11 +52,8 @@
         return any(not attempt.ended for attempt in self.attempts)
 
     def retry_reason(self) -> str:
-        """Why a further attempt begins: how the latest attempt that has ended did; empty for the first."""
-        if not self.attempts:
-            return ""
-        ended = [attempt.cause for attempt in self.attempts if attempt.ended]
-        return ended[-1] if ended else "hedged request: the earlier attempt is late"
+        """Why a further attempt begins: how each earlier one ended; empty for the first."""
+        return "; ".join(attempt.cause if attempt.ended else "late" for attempt in self.attempts)
 
     def first_possible_run(self) -> int | None:
         """When the first attempt that may have run, or may still run, was sent."""
--- a/quincepath/platform/status.py
+++ b/quincepath/platform/status.py
@@ -15,6 +15,7 @@
 from quincepath.platform.targets import TargetTable
 
 MS = 1_000_000
+FIRST_LOGGED_ATTEMPT = 2  # counted from 0: one further attempt is usual, and the log's rate is limited
 
 
 class StatusSource(Protocol):
@@ -54,14 +55,14 @@
 
 
 def log_retries(log: logging.Logger, call: StartCall) -> int:
-    """Log attempts after a part's first, which the retry budget bounds; returns their number."""
-    retries = [order for order in call.attempts if order.attempt]
-    for order in retries:
-        log.info(
-            "query=%s shard=%d attempt=%d node=%s reason=%s", order.query_name, order.shard, order.attempt,
-            call.node.decode("ascii", "replace"), order.reason,
-        )  # fmt: skip
-    return len(retries)
+    """Log attempts from a part's third on; returns the number of those after its first."""
+    for order in call.attempts:
+        if order.attempt >= FIRST_LOGGED_ATTEMPT:
+            log.info(
+                "query=%s shard=%d attempt=%d node=%s earlier: %s", order.query_name, order.shard,
+                order.attempt, call.node.decode("ascii", "replace"), order.reason,
+            )  # fmt: skip
+    return sum(order.attempt > 0 for order in call.attempts)
 
 
 def status_page(broker: StatusSource) -> dict[str, Any]:
