--- a/quincepath/broker/service/turn.py
+++ b/quincepath/broker/service/turn.py
@@ -15,6 +15,7 @@
 from quincepath.broker.service.extension import Extensions
 from quincepath.broker.service.holders import Holders
 from quincepath.broker.service.telemetry import Telemetry
+from quincepath.net.client_connection import STALE_TURN_NS
 from quincepath.net.loop import Loop, Timer
 from quincepath.orders import AttemptEnded, Breach, LogLine, RefreshMembership, StartCall, StopAttempt
 from quincepath.upstream.pool import Upstream
@@ -50,6 +51,8 @@
 
     def run(self) -> None:
         """Pass one batch to the driver and execute its orders."""
+        if self.loop.time_unseen() >= STALE_TURN_NS:
+            self.upstream.read_arrived()  # the module's timers must not overtake responses
         if self.dispatcher.due(self.loop.now):
             began = time.monotonic_ns()
             for order in self.dispatcher.step(self.loop.now):
--- a/quincepath/upstream/pool.py
+++ b/quincepath/upstream/pool.py
@@ -237,6 +237,12 @@
         else:
             connection.assign(call)
 
+    def read_arrived(self) -> None:
+        """Read responses that have arrived to calls in progress, ahead of the loop's next turn."""
+        for call in dict.fromkeys(self.attempts.values()):
+            if call.connection is not None:
+                call.connection.read_arrived()
+
     def stop(self, part: int, attempt: int) -> None:
         """Stop waiting for one attempt; the others of its call continue."""
         call = self.attempts.get((part, attempt))
--- a/tests/test_hard_cases.py
+++ b/tests/test_hard_cases.py
@@ -16,6 +16,7 @@
 from quincepath.fronts.remote_read.remote_pb2 import LabelMatcher, ReadRequest, ReadResponse, TimeSeries
 from quincepath.interface import Entry, Members, Phase, Result, Scope
 from quincepath.lab.load import QueryResult
+from quincepath.net.client_connection import STALE_TURN_NS
 from quincepath.net.http1 import MAX_PIPELINED_REQUESTS, Limits, ResponseReader, request_bytes
 from quincepath.net.stream import Stream
 from quincepath.orders import AttemptEnded, AttemptOrder, StartCall
@@ -551,7 +552,8 @@
     assert [(e.part, e.result) for e in ended] == [(901, Result.CONNECT_FAILED)]
 
 
-def test_a_call_does_not_time_out_while_its_response_is_unread(make: Any) -> None:
+@pytest.mark.parametrize("advance", [SECOND, STALE_TURN_NS], ids=["at its time-out", "after a long turn"])
+def test_a_response_that_is_unread_is_read_before_timers_count(advance: int, make: Any) -> None:
     world = make()
     world.ask(world.plan())
     upstream = world.broker.upstream
@@ -566,8 +568,14 @@
     while connection.stream is None or not select.select([connection.stream.sock], [], [], 0)[0]:
         assert not ended
         world.loop.turn(0.001)
-    wait, world.loop.at = world.loop._wait, until
-    world.loop._wait = lambda seconds: []  # the time for sockets is over in this turn
+    wait = world.loop._wait
+
+    def late_wait(seconds: float) -> list[Any]:
+        """The process was held up in its wait, which reports no socket."""
+        world.loop.at += advance
+        return []
+
+    world.loop._wait = late_wait
     world.loop.turn(0)
     world.loop._wait = wait
     upstream._ended = world.broker.turn.on_attempt_ended
