Driver, evidence: less work for a part's first attempt; a wrong value among many lengths is known

Change: rare events are matched last, first attempts skip the checks of earlier ones, lengths are kept by class only.

--- a/quincepath/broker/driver/rules.py
+++ b/quincepath/broker/driver/rules.py
@@ -72,7 +72,7 @@
             return "send_after_end"
         if part.ok:
             return "send_of_part_in"
-        if part.reply_held():
+        if part.attempts and part.reply_held():
             return "send_while_reply_held"
         if now > part.retry_by:
             return "send_past_doubtful_reply"
--- a/quincepath/broker/driver/state.py
+++ b/quincepath/broker/driver/state.py
@@ -53,6 +53,8 @@
 
     def retry_reason(self) -> str:
         """Why a further attempt begins: how each earlier one ended; empty for the first."""
+        if not self.attempts:
+            return ""
         return "; ".join(attempt.cause if attempt.ended else "late" for attempt in self.attempts)
 
     def first_possible_run(self) -> int | None:
--- a/quincepath/platform/nodes.py
+++ b/quincepath/platform/nodes.py
@@ -215,7 +215,8 @@
         if attempt.timer is not None:
             attempt.timer.cancel()
         self.counts[outcome.result.name.lower()] += 1
-        self.counts["doubtful"] += doubtful
+        if doubtful:
+            self.counts["doubtful"] += 1
         part, number = attempt.key
         self._on_ended(AttemptEnded(part, number, outcome.result, body, outcome.cause, report, doubtful))
 
--- a/quincepath/platform/reply_evidence.py
+++ b/quincepath/platform/reply_evidence.py
@@ -63,16 +63,15 @@
     """Lengths of the values of all nodes by class, and the gaps within replies by node; times in ns."""
 
     def __init__(self) -> None:
-        self._overall: _Lengths | None = None
         self._by_kind: dict[int, _Lengths] = {}
         self._gaps: dict[Hashable, _GapWindows] = {}
 
     def observe_value(self, length: int, kind: int = 0) -> None:
         """The value of a reply that was accepted, of a class, has so many characters."""
-        if self._overall is None:
-            self._overall = _Lengths(length, length, length)
-        self._overall.observe(length)
-        self._by_kind.setdefault(kind, _Lengths(length, length, length)).observe(length)
+        lengths = self._by_kind.get(kind)
+        if lengths is None:
+            lengths = self._by_kind[kind] = _Lengths(length, length, length)
+        lengths.observe(length)
 
     def is_usual(self, length: int, kind: int = 0) -> bool:
         """Whether a value of this length is whole: those of its class have had no other for long enough."""
@@ -89,10 +88,17 @@
 
     def hold_time(self, now: int, node: Hashable, length: int, longest_hold: int, kind: int = 0) -> int:
         """How long to hold back a reply with such a value that ends a read; 0: not at all."""
-        lengths = self._by_kind.get(kind, self._overall)
-        if lengths is None or length == lengths.shortest == lengths.longest:
+        of_kind = self._by_kind.get(kind)
+        if of_kind is not None and length == of_kind.shortest == of_kind.longest:
+            return 0
+        known = self._by_kind.values() if of_kind is None else (of_kind,)
+        if not known:
+            return 0
+        shortest = min(lengths.shortest for lengths in known)
+        longest = max(lengths.longest for lengths in known)
+        if length == shortest == longest:
             return 0
-        if not lengths.shortest <= length <= lengths.longest:
+        if not shortest <= length <= longest:
             return longest_hold
         return min(self._gap_hold(now, node), longest_hold)
 
--- a/quincepath/platform/status.py
+++ b/quincepath/platform/status.py
@@ -56,13 +56,15 @@
 
 def log_retries(log: logging.Logger, call: StartCall) -> int:
     """Log attempts from a part's third on; returns the number of those after its first."""
+    further = 0
     for order in call.attempts:
+        further += order.attempt > 0
         if order.attempt >= FIRST_LOGGED_ATTEMPT:
             log.info(
                 "query=%s shard=%d attempt=%d node=%s earlier: %s", order.query_name, order.shard,
                 order.attempt, call.node.decode("ascii", "replace"), order.reason,
             )  # fmt: skip
-    return sum(order.attempt > 0 for order in call.attempts)
+    return further
 
 
 def status_page(broker: StatusSource) -> dict[str, Any]:
--- a/quincepath/policy/aggregator.py
+++ b/quincepath/policy/aggregator.py
@@ -39,12 +39,6 @@
         match event:
             case Outcome():
                 return self._apply_outcome(event)
-            case ReplyPending():
-                self._apply_reply_pending(event)
-            case RetryDeadline():
-                return self._apply_retry_deadline(event)
-            case LateAnswer():
-                return self._apply_late_answer(event)
             case TimerFired(token):
                 if token == LIST_TOKEN:
                     self.actions.append(Watch(True))
@@ -66,6 +60,12 @@
                 self._apply_members(event)
             case Allowance():
                 self.fleet_allowance.update(self.now, event)
+            case ReplyPending():
+                self._apply_reply_pending(event)
+            case RetryDeadline():
+                return self._apply_retry_deadline(event)
+            case LateAnswer():
+                return self._apply_late_answer(event)
         return None
 
     def _accept(self, event: Query) -> QueryState:
--- a/tests/standins/surplus.py
+++ b/tests/standins/surplus.py
@@ -7,11 +7,13 @@
 import argparse
 import json
 import random
+import signal
 import socket
 import struct
 import sys
 import tempfile
 import threading
+import time
 from collections import Counter
 from collections.abc import Callable
 from contextlib import suppress
@@ -220,6 +222,7 @@
         super().__init__(Loop(), plan, lengths, target)
         self.process = SurplusProcess(folder, self._configuration)
         self.port = self.process.port
+        self._ended = threading.Event()
 
     def start(self) -> None:
         """Return when the broker is ready; discovery and nodes are served meanwhile."""
@@ -232,8 +235,17 @@
             return False
         return True
 
+    def hold_up(self, seconds: float, seed: int) -> None:
+        """Stop the process now and then, for up to so long, until it ends."""
+        draw = random.Random(seed)
+        while not self._ended.wait(draw.uniform(0.2, 0.6)):
+            self.process.popen.send_signal(signal.SIGSTOP)
+            time.sleep(draw.uniform(0.02, seconds))
+            self.process.popen.send_signal(signal.SIGCONT)
+
     def end(self) -> None:
         """End the process."""
+        self._ended.set()
         self.process.end()
 
 
@@ -379,6 +391,9 @@
     parser.add_argument("--spoilt", type=float, default=0.0)
     parser.add_argument("--slow", type=float, default=0.0)
     parser.add_argument("--pieces", type=float, default=0.0)
+    parser.add_argument(
+        "--hold-up", type=float, default=0.0, help="stop the broker for so many seconds at most"
+    )
     parser.add_argument("--by-attempt", action="store_true", help="draw anew for each attempt")
     parser.add_argument("--explain", action="store_true", help="print the log of queries with late attempts")
     parser.add_argument("--lengths", type=int, nargs=2, default=(16, 16))
@@ -388,6 +403,8 @@
         world = ProcessWorld(Path(folder), mix.plan(), range(words.lengths[0], words.lengths[1] + 1))
         try:
             world.start()
+            if words.hold_up:
+                threading.Thread(target=world.hold_up, args=(words.hold_up, words.seed), daemon=True).start()
             play(world, words.seconds, words.clients, words.seed)
         finally:
             world.end()
