Node pool: the search behind invalid bytes is bounded; rejections in check are not doubtful

Change: 64 KiB are read and searched; only good replies count as held; only the beginning of a header, with no reply on its way, keeps new parts off a connection.

--- a/quincepath/net/stream.py
+++ b/quincepath/net/stream.py
@@ -148,16 +148,12 @@
         """Whether the peer has ended the stream or reset it, as far as that is known behind unread bytes."""
         return self.peek() == b"" or self.loop.system.peer_ended(self.sock) is True
 
-    def take_unread(self) -> bytes:
-        """Read what has arrived and return it, for a stream that is about to be closed."""
-        chunks: list[bytes] = []
+    def take_unread(self, max_bytes: int) -> bytes:
+        """Read what has arrived, up to a limit, and return it: for a stream that is about to be closed."""
         with suppress(OSError):
-            while not self.closed and len(chunks) < MAX_FINAL_READS:
-                size = self.sock.recv_into(_READ_BUFFER)
-                if not size:
-                    break
-                chunks.append(bytes(_READ_BUFFER[:size]))
-        return b"".join(chunks)
+            if not self.closed:
+                return self.sock.recv(max_bytes)
+        return b""
 
     def read_pending(self, max_reads: int) -> int:
         """Read what has arrived, now and not in later turns; returns the number of reads."""
--- a/quincepath/platform/connection.py
+++ b/quincepath/platform/connection.py
@@ -13,6 +13,7 @@
 from quincepath.platform.connection_state import ConnectionState, ConnectionTimeouts, Matched
 from quincepath.platform.frames import (
     MAX_FRAME_BYTES,
+    RECOVERY_BYTES,
     CallPart,
     FrameError,
     Reply,
@@ -237,7 +238,7 @@
 
     def _recover(self, frame_error: FrameError) -> set[bytes]:
         """Deliver valid replies behind invalid bytes; returns the ids of parts whose reply is doubtful."""
-        unread = b"" if self.stream is None else self.stream.take_unread()
+        unread = b"" if self.stream is None else self.stream.take_unread(RECOVERY_BYTES)
         matched, doubtful_ids = self.state.recover(self.owner.loop.now, unread, frame_error)
         self.owner.counts["recovered"] += len(matched)
         self._on_matched(matched)
--- a/quincepath/platform/connection_state.py
+++ b/quincepath/platform/connection_state.py
@@ -49,7 +49,6 @@
     """One connection to ``node``. Keys are the caller's own names of attempts.
 
     ``confirm_at`` is set while a whole reply is held back: ``confirm`` is to be called at that time.
-    ``held_id`` is the id of its part then, else empty.
     """
 
     def __init__(
@@ -84,11 +83,11 @@
     def has_capacity(self, now: int, parts: int = 1) -> bool:
         """Whether so many parts may be sent: not full, not retired, not suspect, not near its idle limit.
 
-        Bytes behind the last reply with nothing in flight would precede the next reply.
+        Bytes behind the last reply, when none is on its way, would precede the next one.
         """
         if self.retired or len(self.in_flight) + len(self.cancelled) + parts > self.capacity:
             return False
-        if self.reader.mid_frame and not self.in_flight:
+        if self.reader.mid_header and not self._others_wait(now, b""):
             return False
         return not self.suspect(now) and now < self.used_at + int(USABLE_IDLE_SHARE * self.timeouts.idle)
 
@@ -150,8 +149,9 @@
 
     @property
     def held_id(self) -> bytes:
-        """The id of the part whose whole reply is held back; empty if there is none."""
-        return b"" if self._unconfirmed is None else self._unconfirmed.id
+        """The id of the part whose whole good reply is held back; empty if there is none."""
+        held = self._unconfirmed
+        return held.id if held is not None and held.status == b"good" else b""
 
     def receive(self, now: int, data: bytes) -> tuple[Matched, FrameError | None]:
         """Replies by attempt, and the error in the bytes after them, if there is one."""
--- a/quincepath/platform/frames.py
+++ b/quincepath/platform/frames.py
@@ -12,6 +12,7 @@
 LENGTH = Struct("<I")
 HEADER_BYTES = 5  # length and type letter
 MAX_FRAME_BYTES = 64 * 1024  # after the length, in one frame from a node
+RECOVERY_BYTES = 64 * 1024  # behind invalid bytes, in which replies are looked for
 MAX_LINE_BYTES = 1024  # of a reply's header line
 PRINTABLE_ASCII = range(0x20, 0x7F)
 UTF8_LEADING_BYTES = range(0xC2, 0xF5)  # of a character of more than one byte
@@ -148,8 +149,9 @@
             del buffer[:at]
 
     def append(self, data: bytes) -> None:
-        """Add bytes behind invalid ones, without parsing them."""
+        """Add bytes behind invalid ones, without parsing them, as far as replies are looked for there."""
         self._buffer += data
+        del self._buffer[RECOVERY_BYTES:]
 
     def find_good(self, part: bytes) -> Reply | None:
         """The good reply to ``part`` behind bytes that are no frame, found by the id in its line.
--- a/tests/platform/test_doubtful_replies.py
+++ b/tests/platform/test_doubtful_replies.py
@@ -5,6 +5,7 @@
 from quincepath.broker.driver.doubtful_replies import RETRY_TIME_NS
 from quincepath.interface import Effect, ReplyPending, Result, RetryDeadline, Send
 from quincepath.orders import AttemptEnded, AttemptOrder, AttemptSendDeadline, Order, ReplyHeld, StartCall
+from quincepath.platform.frames import RECOVERY_BYTES, FrameError, FrameReader
 from quincepath.platform.reply_evidence import HEADER_HOLD_NS, USUAL_AT_START
 from tests.helpers import node_id, query_class
 from tests.platform.test_held_back_replies import LONGEST_HOLD_NS, USUAL, VALUE, node_with_history, reply
@@ -126,6 +127,24 @@
     }
 
 
+def test_a_rejection_that_is_checked_at_a_reset_is_not_doubtful() -> None:
+    harness = node_with_history(VALUE, out=(1,))
+    harness.node.streams[0].write(reply(1, "more", 0, "later"))
+    harness.settle()
+    harness.node.streams[0].close(reset=True)
+    harness.run(5 * MS)
+    assert [(one.result, one.doubtful) for one in harness.ended] == [(Result.RESET, False)]
+
+
+def test_the_search_for_replies_behind_invalid_bytes_is_bounded() -> None:
+    """A node that sends without end: each id in flight is searched for in what it sends."""
+    reader = FrameReader()
+    with pytest.raises(FrameError):
+        reader.feed(b"\xff" * 5 + bytes(4 * RECOVERY_BYTES))
+    reader.append(reply(1))
+    assert reader.find_good(b"q1.0") is None and len(reader._buffer) == RECOVERY_BYTES
+
+
 @pytest.mark.parametrize("tail", [b"4", b"4d63f", bytes(1), b"f00dcaf" * 3])
 def test_a_reply_behind_invalid_bytes_is_delivered_if_its_value_has_the_usual_length(tail: bytes) -> None:
     harness = node_with_history(*USUAL, out=(1, 2, 3, 4))
@@ -150,7 +169,7 @@
     stream = harness.connection.stream
     assert stream is not None
     unread = reply(2)
-    stream.take_unread = lambda: unread  # type: ignore[method-assign]
+    stream.take_unread = lambda max_bytes: unread  # type: ignore[method-assign]
     harness.node.streams[0].write(reply(1) + b"f00dcaf")
     harness.run(5 * MS)
     assert harness.results() == {1: Result.OK, 2: Result.OK}
