--- a/tests/platform/test_late_attempts.py
+++ b/tests/platform/test_late_attempts.py
@@ -5,7 +5,8 @@
 import pytest
 
 from tests.standins.platform import SECOND
-from tests.standins.surplus import SOUND, Mix, ProcessWorld, Surplus, VirtualWorld, play
+from tests.standins.surplus import ProcessWorld, VirtualWorld, play
+from tests.standins.surplus_nodes import SOUND, Mix, Surplus
 
 TAILS = (b"4", b"4d", b"f00dcaf" * 3, b"\0", bytes(40))
 SOUND_QUERIES = 3
